--- /dev/null
+++ b/src/decide.cpp
@@ -0,0 +1,797 @@
+// All decisions of a rushhill router: which model server gets each event, when it is shot at again, shed or
+// abandoned, and which copies are held. The router calls one method of Router (decide.h) for each thing that
+// happens, with the clock's reading; the module acts at once by calling the Host handed over at start. It
+// keeps no clock, thread or socket of its own, and one instance knows only what its own router has seen.
+#include "decide.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace rushhill {
+namespace {
+
+// ---- Constants: unit and reason for the size of each.
+constexpr Time second = 10'000;                    // tenths of a millisecond
+constexpr Time housekeeping_period = second / 10;  // time; short beside any due time, long beside a tick
+constexpr Time bucket = second / 2;                // time; a few answers of one server fall into each
+constexpr int ring_buckets = 20;         // buckets; ten seconds, what a server bears is steady over that
+constexpr int recent_buckets = 8;        // buckets; four seconds, so that trouble shows within one or two
+constexpr int span_parts = 16;           // parts of a rule's span; its count is at most 1/16 too high
+constexpr double prior_answers = 3;      // answers; what a server must show before its figures are its own
+constexpr double aside_excess = 0.3;     // share; bad beyond the median that sets a server aside
+constexpr double patience_times = 3;     // usual times; an exponential answer is later 1 time in 20
+constexpr Time trickle_period = second;  // time; several usual answers, so that a period can be judged
+constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
+constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
+constexpr double home_bonus = 0.5;       // score; half a load, so that a standing copy always beats a home
+constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
+constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
+constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
+constexpr Time forget_after = 120 * second;  // time; a function not asked for so long leaves the Index
+
+// Sums over the recent past: fixed buckets of time, used again in a ring.
+template <typename Sum, int count>
+class Ring {
+ public:
+  explicit Ring(Time width) : width_(std::max<Time>(width, 1)) {}
+  Sum& at(Time now) {
+    const Time number = now / width_;
+    Slot& slot = slots_[static_cast<std::size_t>(number % count)];
+    if (slot.number != number) slot = {number, Sum{}};
+    return slot.sum;
+  }
+  // Over the bucket of now and the last - 1 before it.
+  Sum over(Time now, int last = count) const {
+    Sum sum{};
+    for (const Slot& slot : slots_) {
+      if (slot.number > now / width_ - last && slot.number >= 0) sum += slot.sum;
+    }
+    return sum;
+  }
+  void clear() { slots_.fill(Slot{}); }
+
+ private:
+  struct Slot {
+    Time number = -1;
+    Sum sum{};
+  };
+  Time width_;
+  std::array<Slot, count> slots_{};
+};
+
+// What the shots that ended at a server showed.
+struct Tally {
+  double judged = 0;    // shots that went well or badly
+  double bad = 0;       // of these: failed, or overdue
+  double paced = 0;     // answers whose pace is known
+  double pace_sum = 0;  // times taken over the usual times of their functions
+  double work = 0;      // honoured work, as usual times of the traffic types
+  Tally& operator+=(const Tally& other) {
+    judged += other.judged;
+    bad += other.bad;
+    paced += other.paced;
+    pace_sum += other.pace_sum;
+    work += other.work;
+    return *this;
+  }
+};
+
+using SpanRing = Ring<double, span_parts + 1>;
+
+struct Server {
+  explicit Server(Time part) : sent(part) {}
+  ModelServer told;
+  bool listed = false;
+  Time gone_at = 0;
+  int open = 0;               // own shots out
+  Time unanswered_since = 0;  // first send after the last answer; 0: none out
+  Ring<Tally, ring_buckets> past{bucket};
+  SpanRing sent;  // work sent, for the rule on cold servers
+  bool aside = false;
+  double trickle = 0;  // shots allowed in this period, while set aside
+  double trickled = 0;
+  Time period_end = 0;
+  bool went_well = false;
+  bool went_badly = false;
+};
+
+// An Index entry: a server believed to hold a copy of a function.
+struct Entry {
+  int open = 0;  // own shots of the function out there; while any is, the entry is predicted
+  bool ordered = false;
+  bool confirmed = false;
+  Time used = 0;
+};
+
+struct Function {
+  double lanes = 1;
+  double usual = 0;  // time of an answer that found a copy, on a server of usual pace
+  double load = 0;   // time of a load; 0: not known
+  Time asked = 0;
+  std::map<ServerId, double> homes;  // weight as the place for a new load
+  std::uint64_t ranked = 0;          // version of the roster they were ranked for
+  std::map<ServerId, Entry> entries;
+};
+
+struct Shot {
+  ServerId server;
+  Time sent = 0;
+  bool open = true;
+  bool may_have_run = true;
+  bool judged = false;
+  bool confirmed = false;  // the Index held a confirmed entry at the pick
+};
+
+// What differs by traffic type.
+struct TypeRow {
+  TrafficType told;
+  double usual = 0;  // mean time of an answer; 0: none seen
+};
+
+struct Pending {
+  Event told;
+  TypeRow* type = nullptr;
+  Time arrived = 0;
+  Time limit = 0;    // last moment for a final answer
+  Time look_at = 0;  // when its open shots are next looked at
+  bool over_share = false;
+  bool done = false;
+  bool streaming = false;
+  bool waiting = false;
+  std::vector<Shot> shots;
+};
+
+enum class Reason : std::int64_t { housekeeping, limit, look };
+
+class Decider final : public Router {
+ public:
+  Decider(const Deployment& deployment, std::uint64_t seed, Host& host)
+      : d_(deployment),
+        host_(host),
+        chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24U) ^ (seed >> 48U))),
+        orders_((d_.load_window + span_parts - 1) / span_parts),
+        events_taken_((d_.load_window + span_parts - 1) / span_parts) {
+    for (const TrafficType& type : d_.traffic_types) types_.push_back({type});
+  }
+
+  // ---- The roster.
+  void roster(Time now, RosterForm form, const std::vector<ModelServer>& servers) override {
+    if (!started_) wake_housekeeping(now);
+    if (d_.roster_on_request && (form == RosterForm::remembered || form == RosterForm::failed))
+      follow_due_ = true;
+    if (form == RosterForm::failed) return;
+    ++roster_version_;
+    std::set<ServerId> named;
+    for (const ModelServer& told : servers) {
+      named.insert(told.id);
+      auto [it, fresh] = servers_.try_emplace(told.id, span_part(d_.fall_span));
+      Server& server = it->second;
+      const bool restarted = !fresh && told.started != server.told.started;
+      server.told = told;
+      server.listed = told.condition != Condition::left;
+      if (told.condition != Condition::active && server.gone_at == 0) server.gone_at = now;
+      if (told.condition == Condition::active) server.gone_at = 0;
+      if (restarted || !server.listed) forget_copies(told.id);
+      if (restarted) server.aside = false, server.past.clear();
+    }
+    if (form != RosterForm::changes) {
+      for (auto& [id, server] : servers_) {
+        if (named.contains(id) || !server.listed) continue;
+        server.listed = false;
+        server.gone_at = now;
+        forget_copies(id);
+      }
+    }
+    place_waiting(now);
+  }
+
+  // ---- Events and their shots.
+  void event(Time now, const Event& told) override {
+    if (!started_) wake_housekeeping(now);
+    if (d_.load_window > 0) events_taken_.at(now) += 1;
+    Pending& pending = events_[told.id];
+    pending.told = told;
+    pending.type = row(told.traffic_type);
+    pending.arrived = now;
+    pending.limit = now + told.left - d_.tick;
+    Function& function = functions_[told.function];
+    function.lanes = std::max(told.lanes, 1.0);
+    function.asked = now;
+    if (told.load_time > 0) function.load = static_cast<double>(told.load_time);
+    pending.over_share = count_customer(now, told.customer);
+    if (told.left <= d_.tick) return give_up(pending, 0);
+    host_.wake(token(told.id, Reason::limit), pending.limit);
+    place(now, pending);
+  }
+
+  void stream_began(Time, EventId id, int) override {
+    if (const auto it = events_.find(id); it != events_.end()) it->second.streaming = true;
+  }
+
+  void shot_ended(Time now, const ShotEnd& end) override {
+    const auto it = events_.find(end.event);
+    if (it == events_.end()) return;
+    Pending& pending = it->second;
+    const auto leg = static_cast<std::size_t>(end.leg);
+    if (end.final) pending.done = true;
+    if (leg >= pending.shots.size() || !pending.shots[leg].open) return settle(it);
+    Shot& shot = pending.shots[leg];
+    shot.open = false;
+    shot.may_have_run = end.ending != Ending::turned_away && end.ending != Ending::no_connection &&
+                        end.ending != Ending::not_sent && end.ending != Ending::not_stored;
+    learn_from(now, pending, shot, end);
+    if (pending.done) {
+      call_off_rest(pending);
+    } else if (pending.streaming) {
+      pending.streaming = false;
+    }
+    if (!pending.done && end.ending == Ending::not_stored && await_order(now, pending, end.server)) return;
+    if (!pending.done && !any_open(pending)) place(now, pending);
+    settle(events_.find(end.event));
+  }
+
+  void client_gone(Time, EventId id) override {
+    const auto it = events_.find(id);
+    if (it == events_.end()) return;
+    it->second.done = true;
+    call_off_rest(it->second);
+    settle(it);
+  }
+
+  void woken(Time now, std::int64_t token) override {
+    const auto reason = static_cast<Reason>(token % 4);
+    if (reason == Reason::housekeeping) return keep_house(now);
+    const auto it = events_.find(token / 4);
+    if (it == events_.end() || it->second.done || it->second.streaming) return;
+    if (reason == Reason::limit) {
+      call_off_rest(it->second);
+      give_up(it->second, 0);
+    } else {
+      look(now, it->second);
+    }
+    settle(events_.find(token / 4));
+  }
+
+  void probe_ended(Time, const ProbeEnd&) override {}
+  void told(Time, int, const std::string&) override {}
+
+  void order_ended(Time now, const OrderEnd& end) override {
+    if (pending_orders_ > 0) --pending_orders_;
+    const auto function = functions_.find(end.function);
+    if (function == functions_.end()) return;
+    const auto entry = function->second.entries.find(end.server);
+    if (entry == function->second.entries.end()) return;
+    entry->second.ordered = false;
+    entry->second.confirmed = end.ending == Ending::honoured || end.copies > 0;
+    if (entry->second.confirmed) entry->second.used = now;
+    place_waiting(now);
+  }
+
+ private:
+  // ---- The guards: every shot and order passes through these.
+
+  // Rule 3. Nothing new for a server that drains or is gone, from the moment this router was told.
+  bool may_receive(const Server& server) const {
+    return server.listed && server.told.condition == Condition::active;
+  }
+
+  // Rules 1 and 2. Whether the event may have a further shot at this server.
+  bool may_shoot(Time now, const Pending& pending, const Server& server) const {
+    if (pending.done || pending.streaming || now >= pending.limit) return false;
+    if (static_cast<int>(pending.shots.size()) >= d_.shot_cap) return false;
+    const TrafficType& type = pending.type->told;
+    for (const Shot& shot : pending.shots) {
+      if (shot.open && !d_.second_copies) return false;
+      if (!shot.open && !shot.may_have_run) continue;
+      if (type.effect == Effect::at_most_once) return false;
+      if (type.effect == Effect::numbered &&
+          (now - shot.sent + d_.tick >= type.memory_span || !same_group(type.group, shot.server, server))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // Rule 4. Whether a cold server can bear one more event from this router. Its capacity is guessed low, from
+  // the work that warm servers bear for this router: every router doing so, all together stay under the rule.
+  bool cold_room(Time now, const Server& server, const Pending& pending) const {
+    if (!is_cold(now, server)) return true;
+    const double age = std::max(0.0, static_cast<double>(now - server.told.started - d_.fall_span));
+    const double share = d_.cold_share + (1 - d_.cold_share) * age / static_cast<double>(d_.cold_span);
+    const double budget = d_.fall_multiple * share * borne_ * static_cast<double>(d_.fall_span) * cold_part;
+    return server.sent.over(now) + work_of(pending) <= budget;
+  }
+
+  // Rule 5. Whether one more order to load is within the ration; the counts err to the safe side.
+  bool may_order(Time now, const Server& server) const {
+    if (!d_.orders || !may_receive(server) || pending_orders_ >= order_cap) return false;
+    if (d_.load_window <= 0) return true;
+    return orders_.over(now) + 1 <= d_.load_free + d_.loads_per_event * events_taken_.over(now, span_parts);
+  }
+
+  bool may_shed(const Pending& pending) const {
+    const TrafficType& type = pending.type->told;
+    if (type.effect == Effect::reissuable) return true;
+    if (type.effect == Effect::numbered && type.group == Group::all) return true;
+    return std::none_of(pending.shots.begin(), pending.shots.end(),
+                        [](const Shot& shot) { return shot.open || shot.may_have_run; });
+  }
+
+  bool same_group(Group group, const ServerId& one, const Server& other) const {
+    const auto it = servers_.find(one);
+    if (it == servers_.end()) return false;
+    if (group == Group::all) return true;
+    return group == Group::location ? it->second.told.location == other.told.location
+                                    : it->second.told.cell == other.told.cell;
+  }
+
+  bool is_cold(Time now, const Server& server) const {
+    return server.told.started != 0 && now - server.told.started < d_.cold_span;
+  }
+
+  // ---- The ordinary path: Index, Scorer, pick, predicted entry.
+
+  bool warm(Time now, const Function& function, const ServerId& server) const {
+    const auto it = function.entries.find(server);
+    if (it == function.entries.end()) return false;
+    const Entry& entry = it->second;
+    return entry.open > 0 || entry.ordered || (entry.confirmed && now - entry.used < d_.keep_alive);
+  }
+
+  // How long an event of the function should take at the server when it finds a copy.
+  double wait_at(Time now, const Pending& pending, const Function& function, const Server& server) const {
+    double wait = usual_time(pending, function) * pace(now, server) * (1 + crowd_slope * server.open);
+    // A server that has gone quiet with shots out is waiting at least that long already.
+    if (server.unanswered_since != 0) {
+      const double quiet = static_cast<double>(now - server.unanswered_since);
+      wait += std::max(0.0, quiet - patience_times * usual_time(pending, function));
+    }
+    return wait;
+  }
+
+  // Warm score plus load score; both in loads, since a warm hit saves one load.
+  double score(Time now, const Pending& pending, const Function& function, const Server& server) const {
+    const auto entry = function.entries.find(server.told.id);
+    const int open = entry == function.entries.end() ? 0 : entry->second.open;
+    const double excess = std::max(0.0, open + 1 - function.lanes) / function.lanes;
+    const bool held = warm(now, function, server.told.id);
+    const double bonus = held ? 0 : home_bonus * function.homes.at(server.told.id);
+    return (held ? 1 : 0) + bonus - excess -
+           wait_at(now, pending, function, server) / load_time(pending, function);
+  }
+
+  // The place for a new load: every function has an order of servers, the same at every router without any
+  // word between them, so that copies are not multiplied by the number of routers. 1, 1/2, 1/4 ...
+  void rank_homes(const FunctionId& id, Function& function) const {
+    if (function.ranked == roster_version_) return;
+    function.ranked = roster_version_;
+    function.homes.clear();
+    std::vector<std::pair<std::uint64_t, ServerId>> order;
+    for (const auto& [server, known] : servers_) {
+      if (may_receive(known)) order.emplace_back(mix(id, server), server);
+    }
+    std::sort(order.rbegin(), order.rend());
+    double weight = 1;
+    for (const auto& [hash, server] : order) {
+      function.homes[server] = weight;
+      weight /= 2;
+    }
+  }
+
+  static std::uint64_t mix(const FunctionId& function, const ServerId& server) {
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const std::string* text : {&function, &server}) {
+      for (const char c : *text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    }
+    hash ^= hash >> 33U;
+    hash *= 0xff51afd7ed558ccdULL;
+    return hash ^ hash >> 33U;
+  }
+
+  Server* pick(Time now, const Pending& pending, Function& function) {
+    rank_homes(pending.told.function, function);
+    // First without the servers that failed this event or are set aside, then with what there is.
+    for (const bool choosy : {true, false}) {
+      Server* best = nullptr;
+      double best_score = 0;
+      int ties = 0;
+      for (auto& [id, server] : servers_) {
+        if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
+          continue;
+        if (choosy && (tried(pending, id) || (server.aside && !trickles(now, pending, server)))) continue;
+        const double own = score(now, pending, function, server) + (server.aside && choosy ? 1 : 0);
+        if (best == nullptr || own > best_score) {
+          best = &server, best_score = own, ties = 1;
+        } else if (own == best_score && chance_() % static_cast<unsigned>(++ties) == 0) {
+          best = &server;
+        }
+      }
+      if (best != nullptr) return best;
+    }
+    return nullptr;
+  }
+
+  void place(Time now, Pending& pending) {
+    pending.waiting = false;
+    Function& function = functions_[pending.told.function];
+    Server* server = pick(now, pending, function);
+    const double left = static_cast<double>(pending.limit - now);
+    if (server == nullptr) {
+      // Nobody may take it now: it waits for a better moment while there is time for an answer.
+      if (can_shoot_later(pending) && usual_time(pending, function) < left) {
+        pending.waiting = true;
+        waiting_.insert(pending.told.id);
+        return;
+      }
+      return give_up(pending, d_.longest_retry_advice);
+    }
+    // Overload: what can't be answered in its time is shed at once, over-share traffic sooner.
+    const double wait = wait_at(now, pending, function, *server);
+    const double due_left = static_cast<double>(pending.arrived + pending.type->told.due - now);
+    const double tolerated = pending.over_share ? due_left / 2 : due_left;
+    if (pending.shots.empty() && wait > std::max(tolerated, 2 * usual_time(pending, function)) &&
+        may_shed(pending)) {
+      return give_up(pending, d_.longest_retry_advice);
+    }
+    shoot(now, pending, function, *server);
+  }
+
+  void shoot(Time now, Pending& pending, Function& function, Server& server) {
+    const ServerId& id = server.told.id;
+    Entry& entry = function.entries[id];
+    const bool confirmed = entry.confirmed && now - entry.used < d_.keep_alive;
+    if (!confirmed) entry.confirmed = false;
+    ++entry.open;
+    pending.shots.push_back({.server = id, .sent = now, .confirmed = confirmed});
+    ++server.open;
+    if (server.unanswered_since == 0) server.unanswered_since = now;
+    server.sent.at(now) += work_of(pending);
+    if (server.aside) server.trickled += 1;
+    host_.shoot(pending.told.id, id, 0);
+    look_in(now, pending, patience(now, pending, function, confirmed));
+  }
+
+  bool await_order(Time now, Pending& pending, const ServerId& id) {
+    Entry& entry = functions_[pending.told.function].entries[id];
+    Server& server = servers_.at(id);
+    if (!entry.ordered) {
+      if (!may_order(now, server)) return false;
+      order(now, server, pending.told.function, 1);
+      entry.ordered = true;
+    }
+    // A shot sent now could overtake the order: the event follows when the order has ended.
+    pending.waiting = true;
+    waiting_.insert(pending.told.id);
+    return true;
+  }
+
+  void order(Time now, Server& server, const FunctionId& function, int copies) {
+    ++pending_orders_;
+    orders_.at(now) += 1;
+    host_.order(server.told.id, function, copies);
+  }
+
+  // ---- Time-outs, further shots and final answers.
+
+  Time patience(Time now, const Pending& pending, const Function& function, bool confirmed) const {
+    double span = patience_times * usual_time(pending, function) * fleet_pace(now);
+    if (!confirmed) span += 2 * load_time(pending, function);
+    return static_cast<Time>(span) + 2 * d_.tick;
+  }
+
+  // An open shot is overdue. It counts against its server at once; where the server looks bad, and the rules
+  // allow, the event goes elsewhere while there is time.
+  void look(Time now, Pending& pending) {
+    Function& function = functions_[pending.told.function];
+    if (now < pending.look_at || pending.shots.empty()) return;
+    const Time span = patience(now, pending, function, pending.shots.back().confirmed);
+    for (Shot& shot : pending.shots) {
+      if (shot.open && now >= shot.sent + span) judge_shot(now, servers_.at(shot.server), shot, true);
+    }
+    const Shot& newest = pending.shots.back();
+    if (!newest.open) return;
+    const Server& server = servers_.at(newest.server);
+    const bool quiet = server.unanswered_since != 0 && server.unanswered_since <= newest.sent;
+    if (now >= newest.sent + span && (quiet || server.aside)) move_on(now, pending, function);
+    look_in(now, pending, span / 2);
+  }
+
+  void look_in(Time now, Pending& pending, Time span) {
+    if (pending.look_at > now && pending.look_at <= now + span) return;
+    pending.look_at = now + span;
+    host_.wake(token(pending.told.id, Reason::look), pending.look_at);
+  }
+
+  void move_on(Time now, Pending& pending, Function& function) {
+    const TrafficType& type = pending.type->told;
+    if (type.effect == Effect::at_most_once || static_cast<int>(pending.shots.size()) >= d_.shot_cap) return;
+    if (d_.second_copies) {
+      Server* server = pick(now, pending, function);
+      if (server != nullptr && !tried(pending, server->told.id)) shoot(now, pending, function, *server);
+    } else if (d_.cancel && (type.effect == Effect::reissuable || type.group == Group::all)) {
+      host_.call_off(pending.told.id, static_cast<int>(pending.shots.size()) - 1);
+    }
+  }
+
+  void call_off_rest(Pending& pending) {
+    if (!d_.cancel || pending.streaming) return;
+    for (std::size_t leg = 0; leg < pending.shots.size(); ++leg) {
+      if (pending.shots[leg].open) host_.call_off(pending.told.id, static_cast<int>(leg));
+    }
+  }
+
+  void give_up(Pending& pending, Time come_back) {
+    if (may_shed(pending)) {
+      host_.shed(pending.told.id, d_.retry_advice ? std::min(come_back, d_.longest_retry_advice) : 0);
+    } else {
+      host_.abandon(pending.told.id);
+    }
+    pending.done = true;
+    waiting_.erase(pending.told.id);
+    if (!any_open(pending)) finished_.push_back(pending.told.id);
+  }
+
+  void settle(std::map<EventId, Pending>::iterator it) {
+    if (it != events_.end() && it->second.done && !any_open(it->second)) {
+      waiting_.erase(it->first);
+      events_.erase(it);
+    }
+  }
+
+  bool can_shoot_later(const Pending& pending) const {
+    if (static_cast<int>(pending.shots.size()) >= d_.shot_cap) return false;
+    return pending.type->told.effect == Effect::reissuable || may_shed(pending);
+  }
+
+  void place_waiting(Time now) {
+    const std::set<EventId> waiting = std::exchange(waiting_, {});
+    for (const EventId id : waiting) {
+      const auto it = events_.find(id);
+      if (it == events_.end()) continue;
+      if (!it->second.done && it->second.waiting) place(now, it->second);
+      settle(it);
+    }
+  }
+
+  // ---- What the answers teach.
+
+  void learn_from(Time now, Pending& pending, Shot& shot, const ShotEnd& end) {
+    Server& server = servers_.at(shot.server);
+    Function& function = functions_[pending.told.function];
+    Entry& entry = function.entries[shot.server];
+    --server.open;
+    if (entry.open > 0) --entry.open;
+    const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
+    if (!called_off && end.ending != Ending::no_answer && end.ending != Ending::no_connection) {
+      server.unanswered_since = server.open > 0 ? now : 0;
+    } else if (server.open == 0) {
+      server.unanswered_since = 0;
+    }
+    if (end.ending == Ending::honoured) {
+      entry.confirmed = true;
+      entry.used = now;
+      learn_times(now, pending, function, server, shot, end);
+    } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
+      entry.confirmed = false;
+    } else if (end.ending == Ending::connection_lost) {
+      forget_copies(shot.server);
+    }
+    if (!called_off)
+      judge_shot(now, server, shot, end.ending != Ending::honoured && end.ending != Ending::not_stored);
+    if (const auto it = function.entries.find(shot.server); it != function.entries.end() &&
+                                                            it->second.open == 0 && !it->second.ordered &&
+                                                            !it->second.confirmed) {
+      function.entries.erase(it);
+    }
+  }
+
+  void learn_times(Time now, Pending& pending, Function& function, Server& server, const Shot& shot,
+                   const ShotEnd& end) {
+    const auto taken = static_cast<double>(end.taken);
+    const bool found = d_.tells_warm ? end.warmth == Warmth::found : shot.confirmed;
+    if (!found) {
+      const double load = std::max(taken - usual_time(pending, function), 0.0);
+      if (!d_.tells_warm || end.warmth == Warmth::began_load) blend(load_usual_, load);
+      return;
+    }
+    const double fleet = fleet_pace(now);
+    blend(function.usual, taken / fleet);
+    blend(pending.type->usual, taken);
+    Tally& tally = server.past.at(now);
+    tally.paced += 1;
+    tally.pace_sum += taken / function.usual;
+    tally.work += pending.type->usual;
+  }
+
+  static void blend(double& mean, double value) { mean = mean == 0 ? value : mean + learn * (value - mean); }
+
+  double usual_time(const Pending& pending, const Function& function) const {
+    if (function.usual > 0) return function.usual;
+    return pending.type->usual > 0 ? pending.type->usual : static_cast<double>(pending.type->told.due) / 4;
+  }
+  double load_time(const Pending& pending, const Function& function) const {
+    if (function.load > 0) return function.load;
+    return std::max(load_usual_ > 0 ? load_usual_ : static_cast<double>(pending.type->told.due), 1.0);
+  }
+  double work_of(const Pending& pending) const {
+    return pending.type->usual > 0 ? pending.type->usual : static_cast<double>(pending.type->told.due);
+  }
+
+  double pace(Time now, const Server& server) const {
+    const Tally tally = server.past.over(now, recent_buckets);
+    return (tally.pace_sum + prior_answers * fleet_pace(now)) / (tally.paced + prior_answers);
+  }
+  double fleet_pace(Time) const { return fleet_pace_; }
+
+  // ---- Health: by kind of symptom, from own shots, against the fleet's median.
+
+  void judge_shot(Time now, Server& server, Shot& shot, bool bad) {
+    if (shot.judged) return;
+    shot.judged = true;
+    Tally& tally = server.past.at(now);
+    tally.judged += 1;
+    if (bad) tally.bad += 1;
+    (bad ? server.went_badly : server.went_well) = true;
+    if (bad && !server.aside) consider_aside(now, server);
+  }
+
+  double bad_share(Time now, const Server& server) const {
+    const Tally tally = server.past.over(now, recent_buckets);
+    return (tally.bad + prior_answers * median_bad_) / (tally.judged + prior_answers);
+  }
+
+  void consider_aside(Time now, Server& server) {
+    if (bad_share(now, server) <= median_bad_ + aside_excess) return;
+    std::size_t serving = 0;
+    std::size_t aside = 0;
+    for (const auto& [id, other] : servers_) {
+      if (may_receive(other)) ++(other.aside ? aside : serving);
+    }
+    if (aside + 1 > serving) return;  // most of the fleet looks bad: the measure is wrong
+    server.aside = true;
+    server.trickle = 0;
+    server.trickled = 0;
+    server.went_well = server.went_badly = false;
+    server.period_end = now + trickle_period;
+    host_.log("set aside " + server.told.id);
+  }
+
+  // A server set aside gets a trickle that doubles while it goes well.
+  bool trickles(Time now, const Pending& pending, const Server& server) const {
+    return now < server.period_end && server.trickled < server.trickle && pending.shots.empty() &&
+           pending.type->told.effect == Effect::reissuable;
+  }
+
+  void next_period(Time now, Server& server) {
+    if (!server.aside || now < server.period_end) return;
+    if (server.went_badly) {
+      server.trickle = server.trickle >= 1 ? 0 : 1;
+    } else if (server.went_well || server.trickle < 1) {
+      server.trickle = std::max(1.0, server.trickle * 2);
+    }
+    server.trickled = 0;
+    server.went_well = server.went_badly = false;
+    server.period_end = now + trickle_period;
+    if (server.trickle <= trickle_full) return;
+    server.aside = false;
+    server.past.clear();
+    host_.log("back in service " + server.told.id);
+  }
+
+  // ---- Housekeeping.
+
+  void keep_house(Time now) {
+    wake_housekeeping(now);
+    if (std::exchange(follow_due_, false)) host_.follow(true);
+    std::vector<double> bad;
+    std::vector<double> paces;
+    std::vector<double> work;
+    for (auto& [id, server] : servers_) {
+      next_period(now, server);
+      if (!may_receive(server)) continue;
+      const Tally recent = server.past.over(now, recent_buckets);
+      bad.push_back(recent.judged > 0 ? recent.bad / recent.judged : 0);
+      if (recent.paced >= prior_answers) paces.push_back(recent.pace_sum / recent.paced);
+      if (!is_cold(now, server)) work.push_back(server.past.over(now).work);
+    }
+    median_bad_ = median(bad, 0);
+    fleet_pace_ = median(paces, fleet_pace_);
+    const double least = guess_least();
+    borne_ = std::max(median(work, 0) / static_cast<double>(bucket * ring_buckets), least);
+    for (auto it = functions_.begin(); it != functions_.end();) {
+      it = now - it->second.asked > forget_after ? functions_.erase(it) : std::next(it);
+    }
+    std::erase_if(servers_, [&](const auto& item) {
+      return !item.second.listed && item.second.open == 0 && now - item.second.gone_at > forget_after;
+    });
+    place_waiting(now);
+    for (const EventId id : std::exchange(finished_, {})) settle(events_.find(id));
+  }
+
+  // Before anything is seen: a server does at least one event at a time, each well within its due time.
+  double guess_least() const { return 1.0 / std::max(1, d_.routers); }
+
+  static double median(std::vector<double>& values, double otherwise) {
+    if (values.empty()) return otherwise;
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+  }
+
+  void wake_housekeeping(Time now) {
+    started_ = true;
+    host_.wake(token(0, Reason::housekeeping), now + housekeeping_period);
+  }
+
+  // A customer's events beyond its quota, this router taking an even part of it.
+  bool count_customer(Time now, const std::string& name) {
+    const auto told = std::find_if(d_.customers.begin(), d_.customers.end(),
+                                   [&](const Customer& customer) { return customer.name == name; });
+    if (told == d_.customers.end() || told->quota_per_s <= 0) return false;
+    auto& ring = customers_.try_emplace(name, bucket).first->second;
+    ring.at(now) += 1;
+    const double seconds = static_cast<double>(bucket * recent_buckets) / static_cast<double>(second);
+    return ring.over(now, recent_buckets) > told->quota_per_s / std::max(1, d_.routers) * seconds;
+  }
+
+  void forget_copies(const ServerId& server) {
+    for (auto& [id, function] : functions_) {
+      const auto it = function.entries.find(server);
+      if (it == function.entries.end()) continue;
+      it->second.confirmed = it->second.ordered = false;
+      if (it->second.open == 0) function.entries.erase(it);
+    }
+  }
+
+  TypeRow* row(const std::string& name) {
+    const auto it =
+        std::find_if(types_.begin(), types_.end(), [&](const TypeRow& r) { return r.told.name == name; });
+    if (it != types_.end()) return &*it;
+    // Not told at start: the strictest kind.
+    return &types_.emplace_back(TypeRow{{.name = name, .due = second, .effect = Effect::at_most_once}});
+  }
+
+  static bool any_open(const Pending& pending) {
+    return std::any_of(pending.shots.begin(), pending.shots.end(),
+                       [](const Shot& shot) { return shot.open; });
+  }
+  static bool tried(const Pending& pending, const ServerId& server) {
+    return std::any_of(pending.shots.begin(), pending.shots.end(),
+                       [&](const Shot& shot) { return shot.server == server; });
+  }
+  static Time span_part(Time span) { return (span + span_parts - 1) / span_parts; }
+  static std::int64_t token(EventId id, Reason reason) { return id * 4 + static_cast<std::int64_t>(reason); }
+
+  const Deployment d_;
+  Host& host_;
+  std::ranlux24_base chance_;
+  std::deque<TypeRow> types_;
+  std::map<ServerId, Server> servers_;
+  std::map<FunctionId, Function> functions_;
+  std::map<EventId, Pending> events_;
+  std::map<std::string, Ring<double, ring_buckets>> customers_;
+  std::set<EventId> waiting_;
+  std::vector<EventId> finished_;
+  SpanRing orders_;
+  SpanRing events_taken_;
+  std::size_t pending_orders_ = 0;
+  double load_usual_ = 0;
+  double fleet_pace_ = 1;
+  double median_bad_ = 0;
+  double borne_ = 0;  // work a warm server does for this router, per unit of time
+  std::uint64_t roster_version_ = 0;
+  bool started_ = false;
+  bool follow_due_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<Router> make_router(const Deployment& deployment, std::uint64_t seed, Host& host) {
+  return std::make_unique<Decider>(deployment, seed, host);
+}
+
+}  // namespace rushhill
