--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -20,10 +20,12 @@
 constexpr Time bucket = second / 2;                // time; a few answers of one server fall into each
 constexpr int ring_buckets = 20;         // buckets; ten seconds, what a server bears is steady over that
 constexpr int recent_buckets = 8;        // buckets; four seconds, so that trouble shows within one or two
+constexpr int short_buckets = 2;         // buckets; at most a second
 constexpr int span_parts = 16;           // parts of a rule's span; its count is at most 1/16 too high
 constexpr double prior_answers = 3;      // answers; what a server must show before its figures are its own
 constexpr double aside_excess = 0.3;     // share; bad beyond the median that sets a server aside
 constexpr double patience_times = 3;     // usual times; an exponential answer is later 1 time in 20
+constexpr int silent_overdue = 2;        // shots; one alone is often just a long event
 constexpr Time trickle_period = second;  // time; several usual answers, so that a period can be judged
 constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
@@ -90,7 +92,8 @@
   int open = 0;               // own shots out
   Time unanswered_since = 0;  // first send after the last answer; 0: none out
   Ring<Tally, ring_buckets> past{bucket};
-  SpanRing sent;  // work sent, for the rule on cold servers
+  SpanRing sent;           // work sent, for the rule on cold servers
+  int overdue_in_row = 0;  // with no answer between
   bool aside = false;
   double trickle = 0;  // shots allowed in this period, while set aside
   double trickled = 0;
@@ -122,6 +125,7 @@
   Time sent = 0;
   bool open = true;
   bool may_have_run = true;
+  bool missed = false;  // answered that the function is not there
   bool judged = false;
   bool confirmed = false;  // the Index held a confirmed entry at the pick
 };
@@ -223,6 +227,7 @@
     shot.open = false;
     shot.may_have_run = end.ending != Ending::turned_away && end.ending != Ending::no_connection &&
                         end.ending != Ending::not_sent && end.ending != Ending::not_stored;
+    shot.missed = end.ending == Ending::not_stored;
     learn_from(now, pending, shot, end);
     if (pending.done) {
       call_off_rest(pending);
@@ -402,7 +407,9 @@
       for (auto& [id, server] : servers_) {
         if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
           continue;
-        if (choosy && (tried(pending, id) || (server.aside && !trickles(now, pending, server)))) continue;
+        if (choosy && (tried(pending, id, warm(now, function, id)) ||
+                       (server.aside && !trickles(now, pending, server))))
+          continue;
         const double own = score(now, pending, function, server) + (server.aside && choosy ? 1 : 0);
         if (best == nullptr || own > best_score) {
           best = &server, best_score = own, ties = 1;
@@ -490,7 +497,10 @@
     if (now < pending.look_at || pending.shots.empty()) return;
     const Time span = patience(now, pending, function, pending.shots.back().confirmed);
     for (Shot& shot : pending.shots) {
-      if (shot.open && now >= shot.sent + span) judge_shot(now, servers_.at(shot.server), shot, true);
+      if (!shot.open || shot.judged || now < shot.sent + span) continue;
+      Server& server = servers_.at(shot.server);
+      ++server.overdue_in_row;
+      judge_shot(now, server, shot, true);
     }
     const Shot& newest = pending.shots.back();
     if (!newest.open) return;
@@ -511,7 +521,8 @@
     if (type.effect == Effect::at_most_once || static_cast<int>(pending.shots.size()) >= d_.shot_cap) return;
     if (d_.second_copies) {
       Server* server = pick(now, pending, function);
-      if (server != nullptr && !tried(pending, server->told.id)) shoot(now, pending, function, *server);
+      if (server != nullptr && !tried(pending, server->told.id, false))
+        shoot(now, pending, function, *server);
     } else if (d_.cancel && (type.effect == Effect::reissuable || type.group == Group::all)) {
       host_.call_off(pending.told.id, static_cast<int>(pending.shots.size()) - 1);
     }
@@ -568,6 +579,7 @@
     const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
     if (!called_off && end.ending != Ending::no_answer && end.ending != Ending::no_connection) {
       server.unanswered_since = server.open > 0 ? now : 0;
+      server.overdue_in_row = 0;
     } else if (server.open == 0) {
       server.unanswered_since = 0;
     }
@@ -639,13 +651,17 @@
     if (bad && !server.aside) consider_aside(now, server);
   }
 
-  double bad_share(Time now, const Server& server) const {
-    const Tally tally = server.past.over(now, recent_buckets);
+  double bad_share(Time now, const Server& server, int buckets) const {
+    const Tally tally = server.past.over(now, buckets);
     return (tally.bad + prior_answers * median_bad_) / (tally.judged + prior_answers);
   }
 
   void consider_aside(Time now, Server& server) {
-    if (bad_share(now, server) <= median_bad_ + aside_excess) return;
+    // The short view catches a server that has just turned bad, the long one a share that few answers hide;
+    // shots overdue in a row with no answer between are silence, whatever went well before.
+    const double share =
+        std::max(bad_share(now, server, short_buckets), bad_share(now, server, recent_buckets));
+    if (share <= median_bad_ + aside_excess && server.overdue_in_row < silent_overdue) return;
     std::size_t serving = 0;
     std::size_t aside = 0;
     for (const auto& [id, other] : servers_) {
@@ -759,9 +775,10 @@
     return std::any_of(pending.shots.begin(), pending.shots.end(),
                        [](const Shot& shot) { return shot.open; });
   }
-  static bool tried(const Pending& pending, const ServerId& server) {
+  // Whether a shot of the event has failed there; a miss is forgiven once the copy is held or ordered.
+  static bool tried(const Pending& pending, const ServerId& server, bool held) {
     return std::any_of(pending.shots.begin(), pending.shots.end(),
-                       [&](const Shot& shot) { return shot.server == server; });
+                       [&](const Shot& shot) { return shot.server == server && !(shot.missed && held); });
   }
   static Time span_part(Time span) { return (span + span_parts - 1) / span_parts; }
   static std::int64_t token(EventId id, Reason reason) { return id * 4 + static_cast<std::int64_t>(reason); }
--- a/src/decide.h
+++ b/src/decide.h
@@ -19,7 +19,7 @@
 enum class Group { all, location, cell };
 
 struct TrafficType {
-  std::string name;
+  std::string name{};
   Time due = 0;         // an answer is wanted within this span
   Time hard_limit = 0;  // the client gives up after this span
   double importance = 1;
@@ -31,7 +31,7 @@
 };
 
 struct Customer {
-  std::string name;
+  std::string name{};
   double share = 0;
   double quota_per_s = 0;  // events a second over all routers, within the share
 };
@@ -40,7 +40,7 @@
 struct Deployment {
   int me = 0;
   int routers = 1;
-  std::string location;
+  std::string location{};
   Time tick = 0;  // batches arrive no more often than this
   std::vector<TrafficType> traffic_types;
   std::vector<Customer> customers;
@@ -82,11 +82,11 @@
 enum class Condition { active, leaving, left };
 
 struct ModelServer {
-  ServerId id;
+  ServerId id{};
   Time started = 0;  // 0: long ago
   double rating = 1;
-  std::string kind;
-  std::string location;
+  std::string kind{};
+  std::string location{};
   int cell = 0;
   Condition condition = Condition::active;
 };
@@ -95,9 +95,9 @@
 
 struct Event {
   EventId id = 0;
-  std::string traffic_type;
-  std::string customer;
-  FunctionId function;
+  std::string traffic_type{};
+  std::string customer{};
+  FunctionId function{};
   Time left = 0;  // until the client gives up
   double memory_mb = 0;
   double lanes = 1;
@@ -123,25 +123,25 @@
 struct ShotEnd {
   EventId event = 0;
   int leg = 0;  // number of the shot within its event
-  ServerId server;
+  ServerId server{};
   Ending ending = Ending::honoured;
   bool final = false;  // the event has its final answer
   Time taken = 0;
   Warmth warmth = Warmth::untold;
   int crowd = 0;  // events of the same function the server held
-  LoadReport report;
+  LoadReport report{};
 };
 
 struct ProbeEnd {
-  ServerId server;
+  ServerId server{};
   Ending ending = Ending::honoured;
   Time taken = 0;
-  LoadReport report;
+  LoadReport report{};
 };
 
 struct OrderEnd {
-  ServerId server;
-  FunctionId function;
+  ServerId server{};
+  FunctionId function{};
   Ending ending = Ending::honoured;
   Time taken = 0;
   int copies = 0;
