--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -20,7 +20,6 @@
 constexpr Time bucket = second / 2;                // time; a few answers of one server fall into each
 constexpr int ring_buckets = 20;         // buckets; ten seconds, what a server bears is steady over that
 constexpr int recent_buckets = 8;        // buckets; four seconds, so that trouble shows within one or two
-constexpr int short_buckets = 2;         // buckets; at most a second
 constexpr int span_parts = 16;           // parts of a rule's span; its count is at most 1/16 too high
 constexpr double prior_answers = 3;      // answers; what a server must show before its figures are its own
 constexpr double aside_excess = 0.3;     // share; bad beyond the median that sets a server aside
@@ -98,8 +97,7 @@
   double trickle = 0;  // shots allowed in this period, while set aside
   double trickled = 0;
   Time period_end = 0;
-  bool went_well = false;
-  bool went_badly = false;
+  Tally period;  // of the trickle
 };
 
 // An Index entry: a server believed to hold a copy of a function.
@@ -611,8 +609,9 @@
       return;
     }
     const double fleet = fleet_pace(now);
-    blend(function.usual, taken / fleet);
     blend(pending.type->usual, taken);
+    if (function.usual == 0) function.usual = pending.type->usual / fleet;
+    blend(function.usual, taken / fleet);
     Tally& tally = server.past.at(now);
     tally.paced += 1;
     tally.pace_sum += taken / function.usual;
@@ -647,20 +646,15 @@
     Tally& tally = server.past.at(now);
     tally.judged += 1;
     if (bad) tally.bad += 1;
-    (bad ? server.went_badly : server.went_well) = true;
+    server.period.judged += 1;
+    if (bad) server.period.bad += 1;
     if (bad && !server.aside) consider_aside(now, server);
   }
 
-  double bad_share(Time now, const Server& server, int buckets) const {
-    const Tally tally = server.past.over(now, buckets);
-    return (tally.bad + prior_answers * median_bad_) / (tally.judged + prior_answers);
-  }
-
   void consider_aside(Time now, Server& server) {
-    // The short view catches a server that has just turned bad, the long one a share that few answers hide;
-    // shots overdue in a row with no answer between are silence, whatever went well before.
-    const double share =
-        std::max(bad_share(now, server, short_buckets), bad_share(now, server, recent_buckets));
+    // Shots overdue in a row with no answer between are silence, whatever went well before.
+    const Tally tally = server.past.over(now, recent_buckets);
+    const double share = (tally.bad + prior_answers * median_bad_) / (tally.judged + prior_answers);
     if (share <= median_bad_ + aside_excess && server.overdue_in_row < silent_overdue) return;
     std::size_t serving = 0;
     std::size_t aside = 0;
@@ -671,7 +665,7 @@
     server.aside = true;
     server.trickle = 0;
     server.trickled = 0;
-    server.went_well = server.went_badly = false;
+    server.period = {};
     server.period_end = now + trickle_period;
     host_.log("set aside " + server.told.id);
   }
@@ -684,13 +678,13 @@
 
   void next_period(Time now, Server& server) {
     if (!server.aside || now < server.period_end) return;
-    if (server.went_badly) {
+    if (server.period.bad > aside_excess * server.period.judged) {
       server.trickle = server.trickle >= 1 ? 0 : 1;
-    } else if (server.went_well || server.trickle < 1) {
+    } else if (server.period.judged > 0 || server.trickle < 1) {
       server.trickle = std::max(1.0, server.trickle * 2);
     }
     server.trickled = 0;
-    server.went_well = server.went_badly = false;
+    server.period = {};
     server.period_end = now + trickle_period;
     if (server.trickle <= trickle_full) return;
     server.aside = false;
