--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -131,7 +131,7 @@
 // What differs by traffic type.
 struct TypeRow {
   TrafficType told;
-  double usual = 0;  // mean time of an answer; 0: none seen
+  double usual = 0;  // mean time of an answer; at first a guess from the due time
 };
 
 struct Pending {
@@ -157,7 +157,7 @@
         chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24U) ^ (seed >> 48U))),
         orders_((d_.load_window + span_parts - 1) / span_parts),
         events_taken_((d_.load_window + span_parts - 1) / span_parts) {
-    for (const TrafficType& type : d_.traffic_types) types_.push_back({type});
+    for (const TrafficType& type : d_.traffic_types) types_.push_back({type, first_usual(type)});
   }
 
   // ---- The roster.
@@ -497,7 +497,7 @@
     for (Shot& shot : pending.shots) {
       if (!shot.open || shot.judged || now < shot.sent + span) continue;
       Server& server = servers_.at(shot.server);
-      ++server.overdue_in_row;
+      if (server.unanswered_since != 0 && server.unanswered_since <= shot.sent) ++server.overdue_in_row;
       judge_shot(now, server, shot, true);
     }
     const Shot& newest = pending.shots.back();
@@ -620,17 +620,17 @@
 
   static void blend(double& mean, double value) { mean = mean == 0 ? value : mean + learn * (value - mean); }
 
-  double usual_time(const Pending& pending, const Function& function) const {
-    if (function.usual > 0) return function.usual;
-    return pending.type->usual > 0 ? pending.type->usual : static_cast<double>(pending.type->told.due) / 4;
+  // The first answers are the quick ones: the guess made at start gives way only slowly.
+  static double first_usual(const TrafficType& type) { return static_cast<double>(type.due) / 4; }
+
+  static double usual_time(const Pending& pending, const Function& function) {
+    return function.usual > 0 ? function.usual : pending.type->usual;
   }
   double load_time(const Pending& pending, const Function& function) const {
     if (function.load > 0) return function.load;
     return std::max(load_usual_ > 0 ? load_usual_ : static_cast<double>(pending.type->told.due), 1.0);
   }
-  double work_of(const Pending& pending) const {
-    return pending.type->usual > 0 ? pending.type->usual : static_cast<double>(pending.type->told.due);
-  }
+  static double work_of(const Pending& pending) { return pending.type->usual; }
 
   double pace(Time now, const Server& server) const {
     const Tally tally = server.past.over(now, recent_buckets);
@@ -652,10 +652,12 @@
   }
 
   void consider_aside(Time now, Server& server) {
-    // Shots overdue in a row with no answer between are silence, whatever went well before.
+    // Shots overdue in a row, each with no answer of the server since it was sent, are silence, whatever went
+    // well before; not so where most servers are late.
     const Tally tally = server.past.over(now, recent_buckets);
     const double share = (tally.bad + prior_answers * median_bad_) / (tally.judged + prior_answers);
-    if (share <= median_bad_ + aside_excess && server.overdue_in_row < silent_overdue) return;
+    const bool silent = server.overdue_in_row >= silent_overdue && median_bad_ < aside_excess;
+    if (share <= median_bad_ + aside_excess && !silent) return;
     std::size_t serving = 0;
     std::size_t aside = 0;
     for (const auto& [id, other] : servers_) {
@@ -762,7 +764,8 @@
         std::find_if(types_.begin(), types_.end(), [&](const TypeRow& r) { return r.told.name == name; });
     if (it != types_.end()) return &*it;
     // Not told at start: the strictest kind.
-    return &types_.emplace_back(TypeRow{{.name = name, .due = second, .effect = Effect::at_most_once}});
+    return &types_.emplace_back(
+        TypeRow{{.name = name, .due = second, .effect = Effect::at_most_once}, second / 4.0});
   }
 
   static bool any_open(const Pending& pending) {
