--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,10 +29,6 @@
 constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.5;       // score; half a load, so that a standing copy always beats a home
-constexpr double first_window = 8;       // shots; above what a sound server holds for one router
-constexpr double window_cut = 0.8;       // part; a few cuts empty a queue that grew over some answers
-constexpr double slow_part = 0.7;        // of the due time; an answer slower than that had to queue
-constexpr double over_share_part = 0.5;  // of a window; the rest is kept for events within their share
 constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
@@ -98,9 +94,7 @@
   SpanRing sent;           // work sent, for the rule on cold servers
   int overdue_in_row = 0;  // with no answer between
   bool aside = false;
-  double window = first_window;  // own shots out that the server answers in time
-  Time cut_at = 0;               // last cut of the window
-  double trickle = 0;            // shots allowed in this period, while set aside
+  double trickle = 0;  // shots allowed in this period, while set aside
   double trickled = 0;
   Time period_end = 0;
   Tally period;  // of the trickle
@@ -241,7 +235,6 @@
     if (!pending.done && end.ending == Ending::not_stored && await_order(now, pending, end.server)) return;
     if (!pending.done && !any_open(pending)) place(now, pending);
     settle(events_.find(end.event));
-    place_waiting(now, 2);
   }
 
   void client_gone(Time, EventId id) override {
@@ -412,7 +405,6 @@
       for (auto& [id, server] : servers_) {
         if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
           continue;
-        if (!has_window(pending, server)) continue;
         if (choosy && (tried(pending, id, warm(now, function, id)) ||
                        (server.aside && !trickles(now, pending, server))))
           continue;
@@ -432,16 +424,24 @@
     pending.waiting = false;
     Function& function = functions_[pending.told.function];
     Server* server = pick(now, pending, function);
+    const double left = static_cast<double>(pending.limit - now);
     if (server == nullptr) {
-      // Nobody may take it now: it waits here while it can still be answered in time, events beyond their
-      // customer's share not at all; what can't is shed at once.
-      const double left =
-          static_cast<double>(std::min(pending.limit, pending.arrived + pending.type->told.due) - now);
-      if (!pending.over_share && can_shoot_later(pending) && usual_time(pending, function) * 2 < left) {
-        return hold(pending);
+      // Nobody may take it now: it waits for a better moment while there is time for an answer.
+      if (can_shoot_later(pending) && usual_time(pending, function) < left) {
+        pending.waiting = true;
+        waiting_.insert(pending.told.id);
+        return;
       }
       return give_up(pending, d_.longest_retry_advice);
     }
+    // Overload: what can't be answered in its time is shed at once, over-share traffic sooner.
+    const double wait = wait_at(now, pending, function, *server);
+    const double due_left = static_cast<double>(pending.arrived + pending.type->told.due - now);
+    const double tolerated = pending.over_share ? due_left / 2 : due_left;
+    if (pending.shots.empty() && wait > std::max(tolerated, 2 * usual_time(pending, function)) &&
+        may_shed(pending)) {
+      return give_up(pending, d_.longest_retry_advice);
+    }
     shoot(now, pending, function, *server);
   }
 
@@ -460,11 +460,6 @@
     look_in(now, pending, patience(now, pending, function, confirmed));
   }
 
-  void hold(Pending& pending) {
-    pending.waiting = true;
-    waiting_.emplace(pending.arrived, pending.told.id);
-  }
-
   bool await_order(Time now, Pending& pending, const ServerId& id) {
     Entry& entry = functions_[pending.told.function].entries[id];
     Server& server = servers_.at(id);
@@ -474,7 +469,8 @@
       entry.ordered = true;
     }
     // A shot sent now could overtake the order: the event follows when the order has ended.
-    hold(pending);
+    pending.waiting = true;
+    waiting_.insert(pending.told.id);
     return true;
   }
 
@@ -544,13 +540,13 @@
       host_.abandon(pending.told.id);
     }
     pending.done = true;
-    waiting_.erase({pending.arrived, pending.told.id});
+    waiting_.erase(pending.told.id);
     if (!any_open(pending)) finished_.push_back(pending.told.id);
   }
 
   void settle(std::map<EventId, Pending>::iterator it) {
     if (it != events_.end() && it->second.done && !any_open(it->second)) {
-      waiting_.erase({it->second.arrived, it->first});
+      waiting_.erase(it->first);
       events_.erase(it);
     }
   }
@@ -560,17 +556,11 @@
     return pending.type->told.effect == Effect::reissuable || may_shed(pending);
   }
 
-  // Oldest first; at most as many as told.
-  void place_waiting(Time now, std::size_t most = static_cast<std::size_t>(-1)) {
-    std::vector<EventId> ids;
-    for (const auto& [arrived, id] : waiting_) {
-      if (ids.size() == most) break;
-      ids.push_back(id);
-    }
-    for (const EventId id : ids) {
+  void place_waiting(Time now) {
+    const std::set<EventId> waiting = std::exchange(waiting_, {});
+    for (const EventId id : waiting) {
       const auto it = events_.find(id);
       if (it == events_.end()) continue;
-      waiting_.erase({it->second.arrived, id});
       if (!it->second.done && it->second.waiting) place(now, it->second);
       settle(it);
     }
@@ -595,8 +585,6 @@
       entry.confirmed = true;
       entry.used = now;
       learn_times(now, pending, function, server, shot, end);
-    } else if (end.ending == Ending::turned_away) {
-      adjust_window(now, server, true, pending.type->usual);
     } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
       entry.confirmed = false;
     } else if (end.ending == Ending::connection_lost) {
@@ -624,8 +612,6 @@
     blend(pending.type->usual, taken);
     if (function.usual == 0) function.usual = pending.type->usual / fleet;
     blend(function.usual, taken / fleet);
-    adjust_window(now, server, taken > slow_part * static_cast<double>(pending.type->told.due),
-                  pending.type->usual);
     Tally& tally = server.past.at(now);
     tally.paced += 1;
     tally.pace_sum += taken / function.usual;
@@ -652,24 +638,6 @@
   }
   double fleet_pace(Time) const { return fleet_pace_; }
 
-  // ---- Overload: each server has a window of own shots out that grows while answers come in time and is cut
-  // when they queue or are turned away. It holds against any cause of crowding, other routers' bursts too; it
-  // could hurt where single events are by nature slower than their due time, so it never falls below one.
-
-  static bool has_window(const Pending& pending, const Server& server) {
-    const double part = pending.over_share ? over_share_part : 1;
-    return server.open < std::max(1.0, server.window * part);
-  }
-
-  static void adjust_window(Time now, Server& server, bool crowded, double usual) {
-    if (!crowded) {
-      if (server.open + 2 > server.window) server.window += 1 / server.window;
-    } else if (static_cast<double>(now - server.cut_at) > usual) {
-      server.window = std::max(1.0, server.window * window_cut);
-      server.cut_at = now;
-    }
-  }
-
   // ---- Health: by kind of symptom, from own shots, against the fleet's median.
 
   void judge_shot(Time now, Server& server, Shot& shot, bool bad) {
@@ -820,7 +788,7 @@
   std::map<FunctionId, Function> functions_;
   std::map<EventId, Pending> events_;
   std::map<std::string, Ring<double, ring_buckets>> customers_;
-  std::set<std::pair<Time, EventId>> waiting_;  // by arrival
+  std::set<EventId> waiting_;
   std::vector<EventId> finished_;
   SpanRing orders_;
   SpanRing events_taken_;
