--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -360,11 +360,13 @@
   double score(Time now, const Pending& pending, const Function& function, const Server& server) const {
     const auto entry = function.entries.find(server.told.id);
     const int open = entry == function.entries.end() ? 0 : entry->second.open;
-    const double excess = std::max(0.0, open + 1 - function.lanes) / function.lanes;
+    // A lane frees after a usual answer, so shots beyond the lanes cost that much each, not a load.
+    const double excess =
+        std::max(0.0, open + 1 - function.lanes) / function.lanes * usual_time(pending, function);
     const bool held = warm(now, function, server.told.id);
     const double bonus = held ? 0 : home_bonus * function.homes.at(server.told.id);
-    return (held ? 1 : 0) + bonus - excess -
-           wait_at(now, pending, function, server) / load_time(pending, function);
+    return (held ? 1 : 0) + bonus -
+           (excess + wait_at(now, pending, function, server)) / load_time(pending, function);
   }
 
   // The place for a new load: every function has an order of servers, the same at every router without any
