--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -93,6 +93,7 @@
   Ring<Tally, ring_buckets> past{bucket};
   SpanRing sent;           // work sent, for the rule on cold servers
   int overdue_in_row = 0;  // with no answer between
+  Time full_until = 0;     // turned work away: not asked again before
   bool aside = false;
   double trickle = 0;  // shots allowed in this period, while set aside
   double trickled = 0;
@@ -405,6 +406,7 @@
       double best_score = 0;
       int ties = 0;
       for (auto& [id, server] : servers_) {
+        if (now < server.full_until) continue;
         if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
           continue;
         if (choosy && (tried(pending, id, warm(now, function, id)) ||
@@ -426,10 +428,11 @@
     pending.waiting = false;
     Function& function = functions_[pending.told.function];
     Server* server = pick(now, pending, function);
-    const double left = static_cast<double>(pending.limit - now);
+    const auto due_left = static_cast<double>(pending.arrived + pending.type->told.due - now);
     if (server == nullptr) {
-      // Nobody may take it now: it waits for a better moment while there is time for an answer.
-      if (can_shoot_later(pending) && usual_time(pending, function) < left) {
+      // Nobody may take it now: it waits here while it can still be answered in time.
+      const double left = std::min(due_left, static_cast<double>(pending.limit - now));
+      if (!pending.over_share && can_shoot_later(pending) && 2 * usual_time(pending, function) < left) {
         pending.waiting = true;
         waiting_.insert(pending.told.id);
         return;
@@ -438,10 +441,9 @@
     }
     // Overload: what can't be answered in its time is shed at once, over-share traffic sooner.
     const double wait = wait_at(now, pending, function, *server);
-    const double due_left = static_cast<double>(pending.arrived + pending.type->told.due - now);
     const double tolerated = pending.over_share ? due_left / 2 : due_left;
-    if (pending.shots.empty() && wait > std::max(tolerated, 2 * usual_time(pending, function)) &&
-        may_shed(pending)) {
+    if (wait > std::max(tolerated, 2 * usual_time(pending, function)) && may_shed(pending) &&
+        !any_open(pending)) {
       return give_up(pending, d_.longest_retry_advice);
     }
     shoot(now, pending, function, *server);
@@ -587,6 +589,9 @@
       entry.confirmed = true;
       entry.used = now;
       learn_times(now, pending, function, server, shot, end);
+    } else if (end.ending == Ending::turned_away) {
+      // Full, or draining before the roster says so: asking again at once is only more crowding.
+      server.full_until = now + static_cast<Time>(pending.type->usual);
     } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
       entry.confirmed = false;
     } else if (end.ending == Ending::connection_lost) {
