--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,13 +29,6 @@
 constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.5;       // score; half a load, so that a standing copy always beats a home
-constexpr int crowding_buckets = 6;      // of housekeeping; answers for a judgement, yet well under a second
-constexpr double slow_part = 0.7;        // of the due time; an answer slower than that had to queue
-constexpr double crowded_share = 0.25;   // of answers; beyond what a few slow servers cause
-constexpr double window_cut = 0.95;      // a housekeeping period; halves a window in over a second
-constexpr double window_growth = 1.02;   // a housekeeping period; back in some three seconds
-constexpr double least_window = 4;       // shots; enough answers to see relief by
-constexpr double over_share_part = 0.6;  // of the window; the rest is kept for events within their share
 constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
@@ -446,7 +439,11 @@
       }
       return give_up(pending, d_.longest_retry_advice);
     }
-    if (!any_open(pending) && may_shed(pending) && !within_window(pending)) {
+    // Overload: what can't be answered in its time is shed at once, over-share traffic sooner.
+    const double wait = wait_at(now, pending, function, *server);
+    const double tolerated = pending.over_share ? due_left / 2 : due_left;
+    if (wait > std::max(tolerated, 2 * usual_time(pending, function)) && may_shed(pending) &&
+        !any_open(pending)) {
       return give_up(pending, d_.longest_retry_advice);
     }
     shoot(now, pending, function, *server);
@@ -460,7 +457,6 @@
     ++entry.open;
     pending.shots.push_back({.server = id, .sent = now, .confirmed = confirmed});
     ++server.open;
-    ++open_;
     if (server.unanswered_since == 0) server.unanswered_since = now;
     server.sent.at(now) += work_of(pending);
     if (server.aside) server.trickled += 1;
@@ -581,7 +577,6 @@
     Function& function = functions_[pending.told.function];
     Entry& entry = function.entries[shot.server];
     --server.open;
-    --open_;
     if (entry.open > 0) --entry.open;
     const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
     if (!called_off && end.ending != Ending::no_answer && end.ending != Ending::no_connection) {
@@ -596,7 +591,6 @@
       learn_times(now, pending, function, server, shot, end);
     } else if (end.ending == Ending::turned_away) {
       // Full, or draining before the roster says so: asking again at once is only more crowding.
-      count_crowding(now, true);
       server.full_until = now + static_cast<Time>(pending.type->usual);
     } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
       entry.confirmed = false;
@@ -625,7 +619,6 @@
     blend(pending.type->usual, taken);
     if (function.usual == 0) function.usual = pending.type->usual / fleet;
     blend(function.usual, taken / fleet);
-    count_crowding(now, taken > slow_part * static_cast<double>(pending.type->told.due));
     Tally& tally = server.past.at(now);
     tally.paced += 1;
     tally.pace_sum += taken / function.usual;
@@ -652,31 +645,6 @@
   }
   double fleet_pace(Time) const { return fleet_pace_; }
 
-  // ---- Overload: one window of own shots out in the whole fleet, cut while many answers that found a copy
-  // come close to the due time or work is turned away, and grown while answers come in time. It holds against
-  // any cause of crowding, other routers' bursts too. It could hurt where most work is by nature as long as
-  // its due time; the window never falls so low that nothing is tried.
-
-  bool within_window(const Pending& pending) const {
-    return open_ < window_ * (pending.over_share ? over_share_part : 1);
-  }
-
-  void count_crowding(Time now, bool crowded) {
-    Tally& tally = crowding_.at(now);
-    tally.judged += 1;
-    if (crowded) tally.bad += 1;
-  }
-
-  void adjust_window(Time now) {
-    const Tally tally = crowding_.over(now, crowding_buckets);
-    if (tally.judged < prior_answers) return;
-    if (tally.bad > crowded_share * tally.judged) {
-      window_ = std::max(least_window, std::min(window_, static_cast<double>(open_)) * window_cut);
-    } else if (open_ > window_ / 2) {
-      window_ *= window_growth;
-    }
-  }
-
   // ---- Health: by kind of symptom, from own shots, against the fleet's median.
 
   void judge_shot(Time now, Server& server, Shot& shot, bool bad) {
@@ -751,7 +719,6 @@
     }
     median_bad_ = median(bad, 0);
     fleet_pace_ = median(paces, fleet_pace_);
-    adjust_window(now);
     const double least = guess_least();
     borne_ = std::max(median(work, 0) / static_cast<double>(bucket * ring_buckets), least);
     for (auto it = functions_.begin(); it != functions_.end();) {
@@ -838,9 +805,6 @@
   double median_bad_ = 0;
   double borne_ = 0;  // work a warm server does for this router, per unit of time
   std::uint64_t roster_version_ = 0;
-  int open_ = 0;         // own shots out
-  double window_ = 1e9;  // own shots out that the fleet answers in time; none known at first
-  Ring<Tally, crowding_buckets + 1> crowding_{housekeeping_period};
   bool started_ = false;
   bool follow_due_ = false;
 };
