--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,6 +29,7 @@
 constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.5;       // score; half a load, so that a standing copy always beats a home
+constexpr double crowded_part = 0.5;     // of the due time left; a median wait beyond it is an overload
 constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
@@ -357,6 +358,15 @@
     return wait;
   }
 
+  // The median wait over the servers: high only where the whole fleet is crowded.
+  double fleet_wait(Time now, const Pending& pending, const Function& function) const {
+    std::vector<double> waits;
+    for (const auto& [id, server] : servers_) {
+      if (may_receive(server)) waits.push_back(wait_at(now, pending, function, server));
+    }
+    return median(waits, 0);
+  }
+
   // Warm score plus load score; both in loads, since a warm hit saves one load.
   double score(Time now, const Pending& pending, const Function& function, const Server& server) const {
     const auto entry = function.entries.find(server.told.id);
