Customers: only the excess over a share counts as such, by a bucket of tokens

Before, every event of a customer over its quota gave way, also at a router that merely got more than an even part.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -29,7 +29,8 @@
 constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.5;       // score; half a load, so that a standing copy always beats a home
-constexpr double crowded_part = 0.5;     // of the due time left; a median wait beyond it is an overload
+constexpr double over_share_part = 0.5;  // of the due time left; events beyond a share give way first
+constexpr double share_margin = 1.2;     // of an even part of a quota; clients spread unevenly over routers
 constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
@@ -149,6 +150,12 @@
   std::vector<Shot> shots;
 };
 
+// Events within its share that a customer may still send now.
+struct Tokens {
+  double left = 0;
+  Time filled = 0;
+};
+
 enum class Reason : std::int64_t { housekeeping, limit, look };
 
 class Decider final : public Router {
@@ -206,7 +213,7 @@
     function.lanes = std::max(told.lanes, 1.0);
     function.asked = now;
     if (told.load_time > 0) function.load = static_cast<double>(told.load_time);
-    pending.over_share = count_customer(now, told.customer);
+    pending.over_share = beyond_share(now, told.customer);
     if (told.left <= d_.tick) return give_up(pending, 0);
     host_.wake(token(told.id, Reason::limit), pending.limit);
     place(now, pending);
@@ -358,15 +365,6 @@
     return wait;
   }
 
-  // The median wait over the servers: high only where the whole fleet is crowded.
-  double fleet_wait(Time now, const Pending& pending, const Function& function) const {
-    std::vector<double> waits;
-    for (const auto& [id, server] : servers_) {
-      if (may_receive(server)) waits.push_back(wait_at(now, pending, function, server));
-    }
-    return median(waits, 0);
-  }
-
   // Warm score plus load score; both in loads, since a warm hit saves one load.
   double score(Time now, const Pending& pending, const Function& function, const Server& server) const {
     const auto entry = function.entries.find(server.told.id);
@@ -451,7 +449,7 @@
     }
     // Overload: what can't be answered in its time is shed at once, over-share traffic sooner.
     const double wait = wait_at(now, pending, function, *server);
-    const double tolerated = pending.over_share ? due_left / 2 : due_left;
+    const double tolerated = pending.over_share ? due_left * over_share_part : due_left;
     if (wait > std::max(tolerated, 2 * usual_time(pending, function)) && may_shed(pending) &&
         !any_open(pending)) {
       return give_up(pending, d_.longest_retry_advice);
@@ -756,15 +754,21 @@
     host_.wake(token(0, Reason::housekeeping), now + housekeeping_period);
   }
 
-  // A customer's events beyond its quota, this router taking an even part of it.
-  bool count_customer(Time now, const std::string& name) {
+  // Whether the event is beyond its customer's share: a bucket of tokens fills at this router's part of the
+  // quota, with room for routers that get more than an even part. Only the excess itself counts as such.
+  bool beyond_share(Time now, const std::string& name) {
     const auto told = std::find_if(d_.customers.begin(), d_.customers.end(),
                                    [&](const Customer& customer) { return customer.name == name; });
     if (told == d_.customers.end() || told->quota_per_s <= 0) return false;
-    auto& ring = customers_.try_emplace(name, bucket).first->second;
-    ring.at(now) += 1;
-    const double seconds = static_cast<double>(bucket * recent_buckets) / static_cast<double>(second);
-    return ring.over(now, recent_buckets) > told->quota_per_s / std::max(1, d_.routers) * seconds;
+    const double rate = share_margin * told->quota_per_s / std::max(1, d_.routers);  // a second
+    const auto [it, fresh] = customers_.try_emplace(name, Tokens{rate, now});
+    Tokens& tokens = it->second;
+    tokens.left += rate * static_cast<double>(now - tokens.filled) / static_cast<double>(second);
+    tokens.left = std::min(tokens.left, rate);
+    tokens.filled = now;
+    if (tokens.left < 1) return true;
+    tokens.left -= 1;
+    return false;
   }
 
   void forget_copies(const ServerId& server) {
@@ -804,7 +808,7 @@
   std::map<ServerId, Server> servers_;
   std::map<FunctionId, Function> functions_;
   std::map<EventId, Pending> events_;
-  std::map<std::string, Ring<double, ring_buckets>> customers_;
+  std::map<std::string, Tokens> customers_;
   std::set<EventId> waiting_;
   std::vector<EventId> finished_;
   SpanRing orders_;
