--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -22,7 +22,7 @@
 constexpr int recent_buckets = 8;        // buckets; four seconds, so that trouble shows within one or two
 constexpr int span_parts = 16;           // parts of a rule's span; its count is at most 1/16 too high
 constexpr double prior_answers = 3;      // answers; what a server must show before its figures are its own
-constexpr double aside_excess = 0.3;     // share; bad beyond the median that sets a server aside
+constexpr double aside_excess = 0.4;     // share; bad beyond the median that sets a server aside
 constexpr double patience_times = 6;     // usual times; an exponential answer is later 1 time in 400
 constexpr int silent_overdue = 2;        // shots; one alone is often just a long event
 constexpr Time trickle_period = second;  // time; several usual answers, so that a period can be judged
@@ -496,7 +496,7 @@
 
   Time patience(Time now, const Pending& pending, const Function& function, bool confirmed) const {
     double span = patience_times * usual_time(pending, function) * fleet_pace(now);
-    if (!confirmed) span += 2 * load_time(pending, function);
+    span += (confirmed ? 1 : 2) * load_time(pending, function);
     return static_cast<Time>(span) + 2 * d_.tick;
   }
 
