Ration further copies: a surge no longer starts loads everywhere

Cause: crowded warm servers score below cold ones, so every surge began a load storm that kept itself alive.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -28,9 +28,11 @@
 constexpr Time trickle_period = second;  // time; several usual answers, so that a period can be judged
 constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
-constexpr double home_bonus = 0.8;          // score; under a load, so that a standing copy beats a home
+constexpr double home_bonus = 0.8;       // score; under a load, so that a standing copy beats a home
 constexpr double over_share_part = 0.5;  // of the due time left; events beyond a share give way first
 constexpr double share_margin = 1.2;     // of an even part of a quota; clients spread unevenly over routers
+constexpr double spill_share = 0.033;    // further copies an answer; for steady heat, not for a surge
+constexpr double spill_burst = 2;        // further copies at once, of all functions
 constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
@@ -145,7 +147,7 @@
   Time look_at = 0;  // when its open shots are next looked at
   bool over_share = false;
   bool done = false;
-  bool streaming = false;
+  int streaming = -1;  // leg of a stream that has begun: the event's answer is under way
   bool waiting = false;
   std::vector<Shot> shots;
 };
@@ -161,11 +163,9 @@
 class Decider final : public Router {
  public:
   Decider(const Deployment& deployment, std::uint64_t seed, Host& host)
-      : d_(deployment),
-        host_(host),
+      : d_(deployment), host_(host),
         chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24U) ^ (seed >> 48U))),
-        orders_((d_.load_window + span_parts - 1) / span_parts),
-        events_taken_((d_.load_window + span_parts - 1) / span_parts) {
+        orders_(span_part(d_.load_window)), events_taken_(span_part(d_.load_window)) {
     for (const TrafficType& type : d_.traffic_types) types_.push_back({type, first_usual(type)});
   }
 
@@ -219,8 +219,8 @@
     place(now, pending);
   }
 
-  void stream_began(Time, EventId id, int) override {
-    if (const auto it = events_.find(id); it != events_.end()) it->second.streaming = true;
+  void stream_began(Time, EventId id, int leg) override {
+    if (const auto it = events_.find(id); it != events_.end()) it->second.streaming = leg;
   }
 
   void shot_ended(Time now, const ShotEnd& end) override {
@@ -236,13 +236,10 @@
                         end.ending != Ending::not_sent && end.ending != Ending::not_stored;
     shot.missed = end.ending == Ending::not_stored;
     learn_from(now, pending, shot, end);
-    if (pending.done) {
-      call_off_rest(pending);
-    } else if (pending.streaming) {
-      pending.streaming = false;
-    }
+    if (pending.done) call_off_rest(pending);
+    if (pending.streaming == end.leg) pending.streaming = -1;
     if (!pending.done && end.ending == Ending::not_stored && await_order(now, pending, end.server)) return;
-    if (!pending.done && !any_open(pending)) place(now, pending);
+    if (!pending.done && pending.streaming < 0 && !any_open(pending)) place(now, pending);
     settle(events_.find(end.event));
   }
 
@@ -258,7 +255,7 @@
     const auto reason = static_cast<Reason>(token % 4);
     if (reason == Reason::housekeeping) return keep_house(now);
     const auto it = events_.find(token / 4);
-    if (it == events_.end() || it->second.done || it->second.streaming) return;
+    if (it == events_.end() || it->second.done || it->second.streaming >= 0) return;
     if (reason == Reason::limit) {
       call_off_rest(it->second);
       give_up(it->second, 0);
@@ -293,7 +290,7 @@
 
   // Rules 1 and 2. Whether the event may have a further shot at this server.
   bool may_shoot(Time now, const Pending& pending, const Server& server) const {
-    if (pending.done || pending.streaming || now >= pending.limit) return false;
+    if (pending.done || pending.streaming >= 0 || now >= pending.limit) return false;
     if (static_cast<int>(pending.shots.size()) >= d_.shot_cap) return false;
     const TrafficType& type = pending.type->told;
     for (const Shot& shot : pending.shots) {
@@ -406,6 +403,15 @@
     return hash ^ hash >> 33U;
   }
 
+  // Whether a sound server holds the function, so that a load elsewhere would only be a further copy.
+  bool held_soundly(Time now, const Function& function) const {
+    return std::any_of(function.entries.begin(), function.entries.end(), [&](const auto& entry) {
+      const auto it = servers_.find(entry.first);
+      return it != servers_.end() && may_receive(it->second) && !it->second.aside &&
+             warm(now, function, entry.first);
+    });
+  }
+
   Server* pick(Time now, const Pending& pending, Function& function) {
     rank_homes(pending.told.function, function);
     // First without the servers that failed this event or are set aside, then with what there is.
@@ -413,13 +419,14 @@
       Server* best = nullptr;
       double best_score = 0;
       int ties = 0;
+      const bool spill_open = spills_ >= 1 || !held_soundly(now, function);
       for (auto& [id, server] : servers_) {
         if (now < server.full_until) continue;
+        if (!spill_open && !warm(now, function, id)) continue;
         if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
           continue;
-        if (choosy && (tried(pending, id, warm(now, function, id)) ||
-                       (server.aside && !trickles(now, pending, server))))
-          continue;
+        if (choosy && tried(pending, id, warm(now, function, id))) continue;
+        if (choosy && server.aside && !trickles(now, pending, server)) continue;
         const double own = score(now, pending, function, server) + (server.aside && choosy ? 1 : 0);
         if (best == nullptr || own > best_score) {
           best = &server, best_score = own, ties = 1;
@@ -461,6 +468,7 @@
     const ServerId& id = server.told.id;
     Entry& entry = function.entries[id];
     const bool confirmed = entry.confirmed && now - entry.used < d_.keep_alive;
+    if (!warm(now, function, id) && held_soundly(now, function)) spills_ -= 1;
     if (!confirmed) entry.confirmed = false;
     ++entry.open;
     pending.shots.push_back({.server = id, .sent = now, .confirmed = confirmed});
@@ -469,7 +477,7 @@
     server.sent.at(now) += work_of(pending);
     if (server.aside) server.trickled += 1;
     host_.shoot(pending.told.id, id, 0);
-    look_in(now, pending, patience(now, pending, function, confirmed));
+    look_in(now, pending, patience(pending, function, confirmed));
   }
 
   bool await_order(Time now, Pending& pending, const ServerId& id) {
@@ -494,8 +502,8 @@
 
   // ---- Time-outs, further shots and final answers.
 
-  Time patience(Time now, const Pending& pending, const Function& function, bool confirmed) const {
-    double span = patience_times * usual_time(pending, function) * fleet_pace(now);
+  Time patience(const Pending& pending, const Function& function, bool confirmed) const {
+    double span = patience_times * usual_time(pending, function) * fleet_pace_;
     span += (confirmed ? 1 : 2) * load_time(pending, function);
     return static_cast<Time>(span) + 2 * d_.tick;
   }
@@ -505,7 +513,7 @@
   void look(Time now, Pending& pending) {
     Function& function = functions_[pending.told.function];
     if (now < pending.look_at || pending.shots.empty()) return;
-    const Time span = patience(now, pending, function, pending.shots.back().confirmed);
+    const Time span = patience(pending, function, pending.shots.back().confirmed);
     for (Shot& shot : pending.shots) {
       if (!shot.open || shot.judged || now < shot.sent + span) continue;
       Server& server = servers_.at(shot.server);
@@ -539,7 +547,7 @@
   }
 
   void call_off_rest(Pending& pending) {
-    if (!d_.cancel || pending.streaming) return;
+    if (!d_.cancel || pending.streaming >= 0) return;
     for (std::size_t leg = 0; leg < pending.shots.size(); ++leg) {
       if (pending.shots[leg].open) host_.call_off(pending.told.id, static_cast<int>(leg));
     }
@@ -585,6 +593,7 @@
     Function& function = functions_[pending.told.function];
     Entry& entry = function.entries[shot.server];
     --server.open;
+    if (end.ending == Ending::honoured) spills_ = std::min(spills_ + spill_share, spill_burst);
     if (entry.open > 0) --entry.open;
     const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
     if (!called_off && end.ending != Ending::no_answer && end.ending != Ending::no_connection) {
@@ -623,10 +632,9 @@
       if (!d_.tells_warm || end.warmth == Warmth::began_load) blend(load_usual_, load);
       return;
     }
-    const double fleet = fleet_pace(now);
     blend(pending.type->usual, taken);
-    if (function.usual == 0) function.usual = pending.type->usual / fleet;
-    blend(function.usual, taken / fleet);
+    if (function.usual == 0) function.usual = pending.type->usual / fleet_pace_;
+    blend(function.usual, taken / fleet_pace_);
     Tally& tally = server.past.at(now);
     tally.paced += 1;
     tally.pace_sum += taken / function.usual;
@@ -649,20 +657,18 @@
 
   double pace(Time now, const Server& server) const {
     const Tally tally = server.past.over(now, recent_buckets);
-    return (tally.pace_sum + prior_answers * fleet_pace(now)) / (tally.paced + prior_answers);
+    return (tally.pace_sum + prior_answers * fleet_pace_) / (tally.paced + prior_answers);
   }
-  double fleet_pace(Time) const { return fleet_pace_; }
 
   // ---- Health: by kind of symptom, from own shots, against the fleet's median.
 
   void judge_shot(Time now, Server& server, Shot& shot, bool bad) {
     if (shot.judged) return;
     shot.judged = true;
-    Tally& tally = server.past.at(now);
-    tally.judged += 1;
-    if (bad) tally.bad += 1;
-    server.period.judged += 1;
-    if (bad) server.period.bad += 1;
+    for (Tally* tally : {&server.past.at(now), &server.period}) {
+      tally->judged += 1;
+      if (bad) tally->bad += 1;
+    }
     if (bad && !server.aside) consider_aside(now, server);
   }
 
@@ -727,8 +733,9 @@
     }
     median_bad_ = median(bad, 0);
     fleet_pace_ = median(paces, fleet_pace_);
-    const double least = guess_least();
-    borne_ = std::max(median(work, 0) / static_cast<double>(bucket * ring_buckets), least);
+    // At the least, whatever was seen, a warm server does one event at a time for all routers.
+    borne_ =
+        std::max(median(work, 0) / static_cast<double>(bucket * ring_buckets), 1.0 / std::max(1, d_.routers));
     for (auto it = functions_.begin(); it != functions_.end();) {
       it = now - it->second.asked > forget_after ? functions_.erase(it) : std::next(it);
     }
@@ -739,9 +746,6 @@
     for (const EventId id : std::exchange(finished_, {})) settle(events_.find(id));
   }
 
-  // Before anything is seen: a server does at least one event at a time, each well within its due time.
-  double guess_least() const { return 1.0 / std::max(1, d_.routers); }
-
   static double median(std::vector<double>& values, double otherwise) {
     if (values.empty()) return otherwise;
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
@@ -819,6 +823,7 @@
   double median_bad_ = 0;
   double borne_ = 0;  // work a warm server does for this router, per unit of time
   std::uint64_t roster_version_ = 0;
+  double spills_ = spill_burst;  // further copies that may be begun now
   bool started_ = false;
   bool follow_due_ = false;
 };
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -29,6 +29,15 @@
   EXPECT_GE(used.size(), 3U);
 }
 
+TEST(Index, SurgeStartsFewLoads) {
+  Story story;
+  story.start(12);
+  story.honour("f");
+  std::set<ServerId> used;
+  for (int i = 0; i < 60; ++i) used.insert(story.server_of(story.event("f")));
+  EXPECT_LE(used.size(), 4U);
+}
+
 TEST(Index, RoutersShareHomesWithoutAWord) {
   Story one;
   Story other;
