--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -90,7 +90,6 @@
 struct Server {
   explicit Server(Time part) : sent(part) {}
   ModelServer told;
-  bool listed = false;
   Time gone_at = 0;
   int open = 0;               // own shots out
   Time unanswered_since = 0;  // first send after the last answer; 0: none out
@@ -183,16 +182,14 @@
       Server& server = it->second;
       const bool restarted = !fresh && told.started != server.told.started;
       server.told = told;
-      server.listed = told.condition != Condition::left;
-      if (told.condition != Condition::active && server.gone_at == 0) server.gone_at = now;
-      if (told.condition == Condition::active) server.gone_at = 0;
-      if (restarted || !server.listed) forget_copies(told.id);
+      if (told.condition == Condition::left) server.gone_at = now;
+      if (restarted || told.condition == Condition::left) forget_copies(told.id);
       if (restarted) server.aside = false, server.past.clear();
     }
     if (form != RosterForm::changes) {
       for (auto& [id, server] : servers_) {
-        if (named.contains(id) || !server.listed) continue;
-        server.listed = false;
+        if (named.contains(id) || server.told.condition == Condition::left) continue;
+        server.told.condition = Condition::left;
         server.gone_at = now;
         forget_copies(id);
       }
@@ -229,7 +226,7 @@
     Pending& pending = it->second;
     const auto leg = static_cast<std::size_t>(end.leg);
     if (end.final) pending.done = true;
-    if (leg >= pending.shots.size() || !pending.shots[leg].open) return settle(it);
+    if (leg >= pending.shots.size() || !pending.shots[leg].open) return settle(end.event);
     Shot& shot = pending.shots[leg];
     shot.open = false;
     shot.may_have_run = end.ending != Ending::turned_away && end.ending != Ending::no_connection &&
@@ -240,7 +237,7 @@
     if (pending.streaming == end.leg) pending.streaming = -1;
     if (!pending.done && end.ending == Ending::not_stored && await_order(now, pending, end.server)) return;
     if (!pending.done && pending.streaming < 0 && !any_open(pending)) place(now, pending);
-    settle(events_.find(end.event));
+    settle(end.event);
   }
 
   void client_gone(Time, EventId id) override {
@@ -248,7 +245,7 @@
     if (it == events_.end()) return;
     it->second.done = true;
     call_off_rest(it->second);
-    settle(it);
+    settle(id);
   }
 
   void woken(Time now, std::int64_t token) override {
@@ -262,7 +259,7 @@
     } else {
       look(now, it->second);
     }
-    settle(events_.find(token / 4));
+    settle(token / 4);
   }
 
   void probe_ended(Time, const ProbeEnd&) override {}
@@ -284,9 +281,7 @@
   // ---- The guards: every shot and order passes through these.
 
   // Rule 3. Nothing new for a server that drains or is gone, from the moment this router was told.
-  bool may_receive(const Server& server) const {
-    return server.listed && server.told.condition == Condition::active;
-  }
+  static bool may_receive(const Server& server) { return server.told.condition == Condition::active; }
 
   // Rules 1 and 2. Whether the event may have a further shot at this server.
   bool may_shoot(Time now, const Pending& pending, const Server& server) const {
@@ -344,11 +339,12 @@
 
   // ---- The ordinary path: Index, Scorer, pick, predicted entry.
 
+  bool stands(Time now, const Entry& entry) const {
+    return entry.open > 0 || entry.ordered || (entry.confirmed && now - entry.used < d_.keep_alive);
+  }
   bool warm(Time now, const Function& function, const ServerId& server) const {
     const auto it = function.entries.find(server);
-    if (it == function.entries.end()) return false;
-    const Entry& entry = it->second;
-    return entry.open > 0 || entry.ordered || (entry.confirmed && now - entry.used < d_.keep_alive);
+    return it != function.entries.end() && stands(now, it->second);
   }
 
   // How long an event of the function should take at the server when it finds a copy.
@@ -447,7 +443,8 @@
     if (server == nullptr) {
       // Nobody may take it now: it waits here while it can still be answered in time.
       const double left = std::min(due_left, static_cast<double>(pending.limit - now));
-      if (!pending.over_share && can_shoot_later(pending) && 2 * usual_time(pending, function) < left) {
+      if (!pending.over_share && may_shed(pending) && static_cast<int>(pending.shots.size()) < d_.shot_cap &&
+          2 * usual_time(pending, function) < left) {
         pending.waiting = true;
         waiting_.insert(pending.told.id);
         return;
@@ -485,8 +482,10 @@
     Server& server = servers_.at(id);
     if (!entry.ordered) {
       if (!may_order(now, server)) return false;
-      order(now, server, pending.told.function, 1);
+      ++pending_orders_;
+      orders_.at(now) += 1;
       entry.ordered = true;
+      host_.order(id, pending.told.function, 1);
     }
     // A shot sent now could overtake the order: the event follows when the order has ended.
     pending.waiting = true;
@@ -494,12 +493,6 @@
     return true;
   }
 
-  void order(Time now, Server& server, const FunctionId& function, int copies) {
-    ++pending_orders_;
-    orders_.at(now) += 1;
-    host_.order(server.told.id, function, copies);
-  }
-
   // ---- Time-outs, further shots and final answers.
 
   Time patience(const Pending& pending, const Function& function, bool confirmed) const {
@@ -564,16 +557,11 @@
     if (!any_open(pending)) finished_.push_back(pending.told.id);
   }
 
-  void settle(std::map<EventId, Pending>::iterator it) {
-    if (it != events_.end() && it->second.done && !any_open(it->second)) {
-      waiting_.erase(it->first);
-      events_.erase(it);
-    }
-  }
-
-  bool can_shoot_later(const Pending& pending) const {
-    if (static_cast<int>(pending.shots.size()) >= d_.shot_cap) return false;
-    return pending.type->told.effect == Effect::reissuable || may_shed(pending);
+  void settle(EventId id) {
+    const auto it = events_.find(id);
+    if (it == events_.end() || !it->second.done || any_open(it->second)) return;
+    waiting_.erase(id);
+    events_.erase(it);
   }
 
   void place_waiting(Time now) {
@@ -582,7 +570,7 @@
       const auto it = events_.find(id);
       if (it == events_.end()) continue;
       if (!it->second.done && it->second.waiting) place(now, it->second);
-      settle(it);
+      settle(id);
     }
   }
 
@@ -616,11 +604,6 @@
     }
     if (!called_off)
       judge_shot(now, server, shot, end.ending != Ending::honoured && end.ending != Ending::not_stored);
-    if (const auto it = function.entries.find(shot.server); it != function.entries.end() &&
-                                                            it->second.open == 0 && !it->second.ordered &&
-                                                            !it->second.confirmed) {
-      function.entries.erase(it);
-    }
   }
 
   void learn_times(Time now, Pending& pending, Function& function, Server& server, const Shot& shot,
@@ -736,14 +719,18 @@
     // At the least, whatever was seen, a warm server does one event at a time for all routers.
     borne_ =
         std::max(median(work, 0) / static_cast<double>(bucket * ring_buckets), 1.0 / std::max(1, d_.routers));
-    for (auto it = functions_.begin(); it != functions_.end();) {
-      it = now - it->second.asked > forget_after ? functions_.erase(it) : std::next(it);
+    // The Index is bounded: lapsed entries and functions long not asked for go.
+    std::erase_if(functions_, [&](const auto& item) { return now - item.second.asked > forget_after; });
+    for (auto& [id, function] : functions_) {
+      std::erase_if(function.entries, [&](const auto& item) { return !stands(now, item.second); });
     }
     std::erase_if(servers_, [&](const auto& item) {
-      return !item.second.listed && item.second.open == 0 && now - item.second.gone_at > forget_after;
+      const Server& server = item.second;
+      return server.told.condition == Condition::left && server.open == 0 &&
+             now - server.gone_at > forget_after;
     });
     place_waiting(now);
-    for (const EventId id : std::exchange(finished_, {})) settle(events_.find(id));
+    for (const EventId id : std::exchange(finished_, {})) settle(id);
   }
 
   static double median(std::vector<double>& values, double otherwise) {
@@ -778,9 +765,7 @@
   void forget_copies(const ServerId& server) {
     for (auto& [id, function] : functions_) {
       const auto it = function.entries.find(server);
-      if (it == function.entries.end()) continue;
-      it->second.confirmed = it->second.ordered = false;
-      if (it->second.open == 0) function.entries.erase(it);
+      if (it != function.entries.end()) it->second.confirmed = it->second.ordered = false;
     }
   }
 
