--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -33,7 +33,6 @@
 constexpr double share_margin = 1.2;     // of an even part of a quota; clients spread unevenly over routers
 constexpr double spill_share = 0.033;    // further copies an answer; for steady heat, not for a surge
 constexpr double spill_burst = 2;        // further copies at once, of all functions
-constexpr double leaver_share = 0.05;    // of events; beyond what a few impatient clients cause
 constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
@@ -202,7 +201,6 @@
   void event(Time now, const Event& told) override {
     if (!started_) wake_housekeeping(now);
     if (d_.load_window > 0) events_taken_.at(now) += 1;
-    clients_.at(now).judged += 1;
     Pending& pending = events_[told.id];
     pending.told = told;
     pending.type = row(told.traffic_type);
@@ -242,13 +240,10 @@
     settle(end.event);
   }
 
-  void client_gone(Time now, EventId id) override {
+  void client_gone(Time, EventId id) override {
     const auto it = events_.find(id);
     if (it == events_.end()) return;
     it->second.done = true;
-    Tally& clients = clients_.at(now);
-    clients.bad += 1;
-    clients.pace_sum += static_cast<double>(now - it->second.arrived);
     call_off_rest(it->second);
     settle(id);
   }
@@ -444,7 +439,7 @@
     pending.waiting = false;
     Function& function = functions_[pending.told.function];
     Server* server = pick(now, pending, function);
-    const double due_left = due_span(now, *pending.type) - static_cast<double>(now - pending.arrived);
+    const auto due_left = static_cast<double>(pending.arrived + pending.type->told.due - now);
     if (server == nullptr) {
       // Nobody may take it now: it waits here while it can still be answered in time.
       const double left = std::min(due_left, static_cast<double>(pending.limit - now));
@@ -466,15 +461,6 @@
     shoot(now, pending, function, *server);
   }
 
-  // Clients that leave before their due time come again and crowd the fleet with work nobody waits for, so
-  // where more than a few do, what can't be answered before they leave is what can't be answered in time. It
-  // holds whatever makes them leave; it could shed too early where the leavers are a separate kind of client.
-  double due_span(Time now, const TypeRow& type) const {
-    const auto due = static_cast<double>(type.told.due);
-    const Tally clients = clients_.over(now, recent_buckets);
-    return clients.bad > leaver_share * clients.judged ? std::min(due, clients.pace_sum / clients.bad) : due;
-  }
-
   void shoot(Time now, Pending& pending, Function& function, Server& server) {
     const ServerId& id = server.told.id;
     Entry& entry = function.entries[id];
@@ -814,7 +800,6 @@
   std::map<std::string, Tokens> customers_;
   std::set<EventId> waiting_;
   std::vector<EventId> finished_;
-  Ring<Tally, ring_buckets> clients_{bucket};  // events taken, and times after which clients left
   SpanRing orders_;
   SpanRing events_taken_;
   std::size_t pending_orders_ = 0;
