Shed what its client would not wait for

Cause: tries with a budget under the expected wait were sent, left and worked on for nobody, then tried again.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -440,24 +440,24 @@
     Function& function = functions_[pending.told.function];
     Server* server = pick(now, pending, function);
     const auto due_left = static_cast<double>(pending.arrived + pending.type->told.due - now);
+    const auto left = static_cast<double>(pending.limit - now);
     if (server == nullptr) {
       // Nobody may take it now: it waits here while it can still be answered in time.
-      const double left = std::min(due_left, static_cast<double>(pending.limit - now));
       if (!pending.over_share && may_shed(pending) && static_cast<int>(pending.shots.size()) < d_.shot_cap &&
-          2 * usual_time(pending, function) < left) {
+          2 * usual_time(pending, function) < std::min(due_left, left)) {
         pending.waiting = true;
         waiting_.insert(pending.told.id);
         return;
       }
       return give_up(pending, d_.longest_retry_advice);
     }
-    // Overload: what can't be answered in its time is shed at once, over-share traffic sooner.
+    // Overload: what can't be answered in its time is shed at once, over-share traffic sooner. So is what its
+    // client would not wait for: such work is wasted, and clients that come again at once keep a fleet
+    // crowded.
     const double wait = wait_at(now, pending, function, *server);
     const double tolerated = pending.over_share ? due_left * over_share_part : due_left;
-    if (wait > std::max(tolerated, 2 * usual_time(pending, function)) && may_shed(pending) &&
-        !any_open(pending)) {
-      return give_up(pending, d_.longest_retry_advice);
-    }
+    const bool too_late = wait > std::max(tolerated, 2 * usual_time(pending, function)) || wait > left;
+    if (too_late && may_shed(pending) && !any_open(pending)) return give_up(pending, d_.longest_retry_advice);
     shoot(now, pending, function, *server);
   }
 
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -171,6 +171,16 @@
   EXPECT_EQ(story.host.orders.size(), 2U);
 }
 
+TEST(Overload, WhatItsClientWouldNotWaitForIsShedAtOnce) {
+  Story story;
+  story.start(4);
+  for (int i = 0; i < 60; ++i) story.honour("f");  // a tenth of a second each
+  const EventId hasty = story.event("f", second / 20);
+  EXPECT_EQ(story.shots_of(hasty), 0);
+  EXPECT_EQ(story.host.sheds.size(), 1U);
+  EXPECT_EQ(story.shots_of(story.event("f", second / 2)), 1);
+}
+
 TEST(Health, SilentServerIsLeftByItsEventsAndSetAside) {
   Story story;
   story.start(4);
