--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -18,24 +18,26 @@
 constexpr Time second = 10'000;                    // tenths of a millisecond
 constexpr Time housekeeping_period = second / 10;  // time; short beside any due time, long beside a tick
 constexpr Time bucket = second / 2;                // time; a few answers of one server fall into each
-constexpr int ring_buckets = 20;         // buckets; ten seconds, what a server bears is steady over that
-constexpr int recent_buckets = 8;        // buckets; four seconds, so that trouble shows within one or two
-constexpr int span_parts = 16;           // parts of a rule's span; its count is at most 1/16 too high
-constexpr double prior_answers = 3;      // answers; what a server must show before its figures are its own
-constexpr double aside_excess = 0.4;     // share; bad beyond the median that sets a server aside
-constexpr double patience_times = 6;     // usual times; an exponential answer is later 1 time in 400
-constexpr int silent_overdue = 2;        // shots; one alone is often just a long event
-constexpr Time trickle_period = second;  // time; several usual answers, so that a period can be judged
-constexpr double trickle_full = 16;      // shots a period; what a sound server bears without notice
-constexpr double crowd_slope = 0.3;      // usual times; wait that an own open shot adds for the next
-constexpr double home_bonus = 0.8;       // score; under a load, so that a standing copy beats a home
-constexpr double over_share_part = 0.5;  // of the due time left; events beyond a share give way first
-constexpr double share_margin = 1.2;     // of an even part of a quota; clients spread unevenly over routers
-constexpr double spill_share = 0.033;    // further copies an answer; for steady heat, not for a surge
-constexpr double spill_burst = 2;        // further copies at once, of all functions
-constexpr double cold_part = 0.8;        // share of the rule's budget; leaves room for chance and skew
-constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
-constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
+constexpr int ring_buckets = 20;            // buckets; ten seconds, what a server bears is steady over that
+constexpr int recent_buckets = 8;           // buckets; four seconds, so that trouble shows within one or two
+constexpr int span_parts = 16;              // parts of a rule's span; its count is at most 1/16 too high
+constexpr double prior_answers = 3;         // answers; what a server must show before its figures are its own
+constexpr double aside_excess = 0.4;        // share; bad beyond the median that sets a server aside
+constexpr double patience_times = 6;        // usual times; an exponential answer is later 1 time in 400
+constexpr int silent_overdue = 2;           // shots; one alone is often just a long event
+constexpr double quiet_times = 3;           // usual times; silence that long makes a server look worse
+constexpr Time longest_pause = 8 * second;  // time; a server back in service is noticed within that
+constexpr Time trickle_period = second;     // time; several usual answers, so that a period can be judged
+constexpr double trickle_full = 16;         // shots a period; what a sound server bears without notice
+constexpr double crowd_slope = 0.3;         // usual times; wait that an own open shot adds for the next
+constexpr double home_bonus = 0.8;          // score; under a load, so that a standing copy beats a home
+constexpr double over_share_part = 0.5;     // of the due time left; events beyond a share give way first
+constexpr double share_margin = 1.2;   // of an even part of a quota; clients spread unevenly over routers
+constexpr double spill_share = 0.033;  // further copies an answer; for steady heat, not for a surge
+constexpr double spill_burst = 2;      // further copies at once, of all functions
+constexpr double cold_part = 0.8;      // share of the rule's budget; leaves room for chance and skew
+constexpr double learn = 0.05;         // weight of a new answer; some twenty answers make the mean
+constexpr std::size_t order_cap = 4;   // orders pending; a store shared by all is soon crowded
 constexpr Time forget_after = 120 * second;  // time; a function not asked for so long leaves the Index
 
 // Sums over the recent past: fixed buckets of time, used again in a ring.
@@ -100,8 +102,10 @@
   bool aside = false;
   double trickle = 0;  // shots allowed in this period, while set aside
   double trickled = 0;
+  Time period_start = 0;
   Time period_end = 0;
-  Tally period;  // of the trickle
+  Time pause = 0;  // before the next trickle, doubled while it goes badly
+  Tally period;    // of the trickle
 };
 
 // An Index entry: a server believed to hold a copy of a function.
@@ -142,8 +146,7 @@
   Event told;
   TypeRow* type = nullptr;
   Time arrived = 0;
-  Time limit = 0;    // last moment for a final answer
-  Time look_at = 0;  // when its open shots are next looked at
+  Time limit = 0;  // last moment for a final answer
   bool over_share = false;
   bool done = false;
   int streaming = -1;  // leg of a stream that has begun: the event's answer is under way
@@ -157,7 +160,7 @@
   Time filled = 0;
 };
 
-enum class Reason : std::int64_t { housekeeping, limit, look };
+enum class Reason : std::int64_t { housekeeping, limit };
 
 class Decider final : public Router {
  public:
@@ -253,12 +256,8 @@
     if (reason == Reason::housekeeping) return keep_house(now);
     const auto it = events_.find(token / 4);
     if (it == events_.end() || it->second.done || it->second.streaming >= 0) return;
-    if (reason == Reason::limit) {
-      call_off_rest(it->second);
-      give_up(it->second, 0);
-    } else {
-      look(now, it->second);
-    }
+    call_off_rest(it->second);
+    give_up(it->second, 0);
     settle(token / 4);
   }
 
@@ -353,7 +352,7 @@
     // A server that has gone quiet with shots out is waiting at least that long already.
     if (server.unanswered_since != 0) {
       const double quiet = static_cast<double>(now - server.unanswered_since);
-      wait += std::max(0.0, quiet - patience_times * usual_time(pending, function));
+      wait += std::max(0.0, quiet - quiet_times * usual_time(pending, function));
     }
     return wait;
   }
@@ -474,7 +473,6 @@
     server.sent.at(now) += work_of(pending);
     if (server.aside) server.trickled += 1;
     host_.shoot(pending.told.id, id, 0);
-    look_in(now, pending, patience(pending, function, confirmed));
   }
 
   bool await_order(Time now, Pending& pending, const ServerId& id) {
@@ -495,36 +493,32 @@
 
   // ---- Time-outs, further shots and final answers.
 
-  Time patience(const Pending& pending, const Function& function, bool confirmed) const {
-    double span = patience_times * usual_time(pending, function) * fleet_pace_;
-    span += (confirmed ? 1 : 2) * load_time(pending, function);
-    return static_cast<Time>(span) + 2 * d_.tick;
+  // How long a shot may be out before it is overdue; short where the server is set aside already.
+  Time patience(const Pending& pending, const Function& function, const Shot& shot) const {
+    const double usual = usual_time(pending, function) * fleet_pace_;
+    const double load = load_time(pending, function);
+    if (servers_.at(shot.server).aside)
+      return static_cast<Time>(quiet_times * usual + (shot.confirmed ? 0 : load));
+    return static_cast<Time>(patience_times * usual + (shot.confirmed ? 1 : 2) * load) + 2 * d_.tick;
   }
 
   // An open shot is overdue. It counts against its server at once; where the server looks bad, and the rules
   // allow, the event goes elsewhere while there is time.
   void look(Time now, Pending& pending) {
     Function& function = functions_[pending.told.function];
-    if (now < pending.look_at || pending.shots.empty()) return;
-    const Time span = patience(pending, function, pending.shots.back().confirmed);
+    if (pending.done || pending.streaming >= 0 || pending.shots.empty() || !pending.shots.back().open) return;
     for (Shot& shot : pending.shots) {
-      if (!shot.open || shot.judged || now < shot.sent + span) continue;
+      if (!shot.open || shot.judged || now < shot.sent + patience(pending, function, shot)) continue;
       Server& server = servers_.at(shot.server);
       if (server.unanswered_since != 0 && server.unanswered_since <= shot.sent) ++server.overdue_in_row;
       judge_shot(now, server, shot, true);
     }
     const Shot& newest = pending.shots.back();
-    if (!newest.open) return;
     const Server& server = servers_.at(newest.server);
     const bool quiet = server.unanswered_since != 0 && server.unanswered_since <= newest.sent;
-    if (now >= newest.sent + span && (quiet || server.aside)) move_on(now, pending, function);
-    look_in(now, pending, span / 2);
-  }
-
-  void look_in(Time now, Pending& pending, Time span) {
-    if (pending.look_at > now && pending.look_at <= now + span) return;
-    pending.look_at = now + span;
-    host_.wake(token(pending.told.id, Reason::look), pending.look_at);
+    if (now >= newest.sent + patience(pending, function, newest) && (quiet || server.aside)) {
+      move_on(now, pending, function);
+    }
   }
 
   void move_on(Time now, Pending& pending, Function& function) {
@@ -672,26 +666,31 @@
     server.trickle = 0;
     server.trickled = 0;
     server.period = {};
+    server.pause = trickle_period / 2;
     server.period_end = now + trickle_period;
     host_.log("set aside " + server.told.id);
   }
 
   // A server set aside gets a trickle that doubles while it goes well.
   bool trickles(Time now, const Pending& pending, const Server& server) const {
-    return now < server.period_end && server.trickled < server.trickle && pending.shots.empty() &&
+    return now >= server.period_start && now < server.period_end && server.trickled < server.trickle &&
+           server.open < server.trickle && pending.shots.empty() &&
            pending.type->told.effect == Effect::reissuable;
   }
 
   void next_period(Time now, Server& server) {
     if (!server.aside || now < server.period_end) return;
+    Time pause = 0;
     if (server.period.bad > aside_excess * server.period.judged) {
-      server.trickle = server.trickle >= 1 ? 0 : 1;
+      server.trickle = 1;
+      server.pause = pause = std::min(2 * server.pause, longest_pause);
     } else if (server.period.judged > 0 || server.trickle < 1) {
       server.trickle = std::max(1.0, server.trickle * 2);
     }
     server.trickled = 0;
     server.period = {};
-    server.period_end = now + trickle_period;
+    server.period_start = now + pause;
+    server.period_end = server.period_start + trickle_period;
     if (server.trickle <= trickle_full) return;
     server.aside = false;
     server.past.clear();
@@ -729,6 +728,7 @@
       return server.told.condition == Condition::left && server.open == 0 &&
              now - server.gone_at > forget_after;
     });
+    for (auto& [id, pending] : events_) look(now, pending);
     place_waiting(now);
     for (const EventId id : std::exchange(finished_, {})) settle(id);
   }
