Turned away without a copy: only further loads there are put off

Cause: with the store slow, load queues were full and idle servers turned cold events away; the router then avoided them for copies that stood, too.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -96,9 +96,10 @@
   int open = 0;               // own shots out
   Time unanswered_since = 0;  // first send after the last answer; 0: none out
   Ring<Tally, ring_buckets> past{bucket};
-  SpanRing sent;           // work sent, for the rule on cold servers
-  int overdue_in_row = 0;  // with no answer between
-  Time full_until = 0;     // turned work away: not asked again before
+  SpanRing sent;            // work sent, for the rule on cold servers
+  int overdue_in_row = 0;   // with no answer between
+  Time full_until = 0;      // turned work away: not asked again before
+  Time no_loads_until = 0;  // the same, for functions it does not hold
   bool aside = false;
   double trickle = 0;  // shots allowed in this period, while set aside
   double trickled = 0;
@@ -417,7 +418,7 @@
       const bool spill_open = spills_ >= 1 || !held_soundly(now, function);
       for (auto& [id, server] : servers_) {
         if (now < server.full_until) continue;
-        if (!spill_open && !warm(now, function, id)) continue;
+        if ((!spill_open || now < server.no_loads_until) && !warm(now, function, id)) continue;
         if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
           continue;
         if (choosy && tried(pending, id, warm(now, function, id))) continue;
@@ -589,8 +590,11 @@
       entry.used = now;
       learn_times(now, pending, function, server, shot, end);
     } else if (end.ending == Ending::turned_away) {
-      // Full, or draining before the roster says so: asking again at once is only more crowding.
-      server.full_until = now + static_cast<Time>(pending.type->usual);
+      // Full, or draining before the roster says so: asking again at once is only more crowding. Where no
+      // copy stood it may be the loads that are too many, a slow store behind them: copies that stand still
+      // serve.
+      if (shot.confirmed) server.full_until = now + static_cast<Time>(pending.type->usual);
+      server.no_loads_until = now + static_cast<Time>(load_time(pending, function) / 2);
     } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
       entry.confirmed = false;
     } else if (end.ending == Ending::connection_lost) {
