The design's own load score for shots beyond lanes; a cold server's part by its kind

With further copies rationed, the default (a full load for each lane's worth beyond) no longer starts storms, and keeps servers from starting copies by themselves.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -35,7 +35,7 @@
 constexpr double share_margin = 1.2;   // of an even part of a quota; clients spread unevenly over routers
 constexpr double spill_share = 0.033;  // further copies an answer; for steady heat, not for a surge
 constexpr double spill_burst = 2;      // further copies at once, of all functions
-constexpr double cold_part = 0.8;      // share of the rule's budget; leaves room for chance and skew
+constexpr double cold_part = 0.9;      // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;         // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;   // orders pending; a store shared by all is soon crowded
 constexpr Time forget_after = 120 * second;  // time; a function not asked for so long leaves the Index
@@ -301,12 +301,15 @@
   }
 
   // Rule 4. Whether a cold server can bear one more event from this router. Its capacity is guessed low, from
-  // the work that warm servers bear for this router: every router doing so, all together stay under the rule.
+  // the work that warm servers of its kind bear for this router: every router doing so, all together stay
+  // under the rule. At the least, whatever was seen, a warm server does one event at a time for all routers.
   bool cold_room(Time now, const Server& server, const Pending& pending) const {
     if (!is_cold(now, server)) return true;
     const double age = std::max(0.0, static_cast<double>(now - server.told.started - d_.fall_span));
     const double share = d_.cold_share + (1 - d_.cold_share) * age / static_cast<double>(d_.cold_span);
-    const double budget = d_.fall_multiple * share * borne_ * static_cast<double>(d_.fall_span) * cold_part;
+    const auto seen = borne_.find(server.told.kind);
+    const double borne = std::max(seen == borne_.end() ? 0 : seen->second, 1.0 / std::max(1, d_.routers));
+    const double budget = d_.fall_multiple * share * borne * static_cast<double>(d_.fall_span) * cold_part;
     return server.sent.over(now) + work_of(pending) <= budget;
   }
 
@@ -362,13 +365,11 @@
   double score(Time now, const Pending& pending, const Function& function, const Server& server) const {
     const auto entry = function.entries.find(server.told.id);
     const int open = entry == function.entries.end() ? 0 : entry->second.open;
-    // A lane frees after a usual answer, so shots beyond the lanes cost that much each, not a load.
-    const double excess =
-        std::max(0.0, open + 1 - function.lanes) / function.lanes * usual_time(pending, function);
+    const double excess = std::max(0.0, open + 1 - function.lanes) / function.lanes;
     const bool held = warm(now, function, server.told.id);
     const double bonus = held ? 0 : home_bonus * function.homes.at(server.told.id);
-    return (held ? 1 : 0) + bonus -
-           (excess + wait_at(now, pending, function, server)) / load_time(pending, function);
+    const double wait = wait_at(now, pending, function, server) / load_time(pending, function);
+    return (held ? 1 : 0) + bonus - excess - wait;
   }
 
   // The place for a new load: every function has an order of servers, the same at every router without any
@@ -708,20 +709,19 @@
     if (std::exchange(follow_due_, false)) host_.follow(true);
     std::vector<double> bad;
     std::vector<double> paces;
-    std::vector<double> work;
+    std::map<std::string, std::vector<double>> work;
     for (auto& [id, server] : servers_) {
       next_period(now, server);
       if (!may_receive(server)) continue;
       const Tally recent = server.past.over(now, recent_buckets);
       bad.push_back(recent.judged > 0 ? recent.bad / recent.judged : 0);
       if (recent.paced >= prior_answers) paces.push_back(recent.pace_sum / recent.paced);
-      if (!is_cold(now, server)) work.push_back(server.past.over(now).work);
+      if (!is_cold(now, server)) work[server.told.kind].push_back(server.past.over(now).work);
     }
     median_bad_ = median(bad, 0);
     fleet_pace_ = median(paces, fleet_pace_);
-    // At the least, whatever was seen, a warm server does one event at a time for all routers.
-    borne_ =
-        std::max(median(work, 0) / static_cast<double>(bucket * ring_buckets), 1.0 / std::max(1, d_.routers));
+    for (auto& [kind, done] : work)
+      borne_[kind] = median(done, 0) / static_cast<double>(bucket * ring_buckets);
     // The Index is bounded: lapsed entries and functions long not asked for go.
     std::erase_if(functions_, [&](const auto& item) { return now - item.second.asked > forget_after; });
     for (auto& [id, function] : functions_) {
@@ -810,7 +810,8 @@
   double load_usual_ = 0;
   double fleet_pace_ = 1;
   double median_bad_ = 0;
-  double borne_ = 0;  // work a warm server does for this router, per unit of time
+  std::map<std::string, double>
+      borne_;  // work a warm server of the kind does for this router, per unit of time
   std::uint64_t roster_version_ = 0;
   double spills_ = spill_burst;  // further copies that may be begun now
   bool started_ = false;
