--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <random>
 #include <set>
 #include <utility>
@@ -38,7 +37,8 @@
 constexpr double cold_part = 0.9;      // share of the rule's budget; leaves room for chance and skew
 constexpr double learn = 0.05;         // weight of a new answer; some twenty answers make the mean
 constexpr std::size_t order_cap = 4;   // orders pending; a store shared by all is soon crowded
-constexpr Time forget_after = 120 * second;  // time; a function not asked for so long leaves the Index
+constexpr Time forget_after = 120 * second;     // time; a function not asked for so long leaves the Index
+constexpr std::int64_t housekeeping_token = 0;  // other tokens are an event's id + 1, for its limit
 
 // Sums over the recent past: fixed buckets of time, used again in a ring.
 template <typename Sum, int count>
@@ -78,15 +78,20 @@
   double pace_sum = 0;  // times taken over the usual times of their functions
   double work = 0;      // honoured work, as usual times of the traffic types
   Tally& operator+=(const Tally& other) {
-    judged += other.judged;
-    bad += other.bad;
-    paced += other.paced;
-    pace_sum += other.pace_sum;
-    work += other.work;
+    for (const auto sum : {&Tally::judged, &Tally::bad, &Tally::paced, &Tally::pace_sum, &Tally::work}) {
+      this->*sum += other.*sum;
+    }
     return *this;
   }
 };
 
+// How a server treats one customer's events; it may refuse them while it serves the others'.
+struct Refusal {
+  Ring<Tally, ring_buckets> past{bucket};
+  Time until = 0;  // the customer's events go elsewhere before
+  Time pause = 0;  // doubled while it goes badly
+};
+
 using SpanRing = Ring<double, span_parts + 1>;
 
 struct Server {
@@ -96,10 +101,11 @@
   int open = 0;               // own shots out
   Time unanswered_since = 0;  // first send after the last answer; 0: none out
   Ring<Tally, ring_buckets> past{bucket};
-  SpanRing sent;            // work sent, for the rule on cold servers
-  int overdue_in_row = 0;   // with no answer between
-  Time full_until = 0;      // turned work away: not asked again before
-  Time no_loads_until = 0;  // the same, for functions it does not hold
+  SpanRing sent;                            // work sent, for the rule on cold servers
+  std::map<std::string, Refusal> refusals;  // by customer
+  int overdue_in_row = 0;                   // with no answer between
+  Time full_until = 0;                      // turned work away: not asked again before
+  Time no_loads_until = 0;                  // the same, for functions it does not hold
   bool aside = false;
   double trickle = 0;  // shots allowed in this period, while set aside
   double trickled = 0;
@@ -161,15 +167,14 @@
   Time filled = 0;
 };
 
-enum class Reason : std::int64_t { housekeeping, limit };
-
 class Decider final : public Router {
  public:
   Decider(const Deployment& deployment, std::uint64_t seed, Host& host)
       : d_(deployment), host_(host),
         chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24U) ^ (seed >> 48U))),
         orders_(span_part(d_.load_window)), events_taken_(span_part(d_.load_window)) {
-    for (const TrafficType& type : d_.traffic_types) types_.push_back({type, first_usual(type)});
+    for (const TrafficType& type : d_.traffic_types)
+      types_.try_emplace(type.name, TypeRow{type, first_usual(type)});
   }
 
   // ---- The roster.
@@ -207,7 +212,7 @@
     if (d_.load_window > 0) events_taken_.at(now) += 1;
     Pending& pending = events_[told.id];
     pending.told = told;
-    pending.type = row(told.traffic_type);
+    pending.type = &row(told.traffic_type);
     pending.arrived = now;
     pending.limit = now + told.left - d_.tick;
     Function& function = functions_[told.function];
@@ -216,7 +221,7 @@
     if (told.load_time > 0) function.load = static_cast<double>(told.load_time);
     pending.over_share = beyond_share(now, told.customer);
     if (told.left <= d_.tick) return give_up(pending, 0);
-    host_.wake(token(told.id, Reason::limit), pending.limit);
+    host_.wake(told.id + 1, pending.limit);
     place(now, pending);
   }
 
@@ -230,7 +235,7 @@
     Pending& pending = it->second;
     const auto leg = static_cast<std::size_t>(end.leg);
     if (end.final) pending.done = true;
-    if (leg >= pending.shots.size() || !pending.shots[leg].open) return settle(end.event);
+    if (leg >= pending.shots.size() || !pending.shots[leg].open) return;
     Shot& shot = pending.shots[leg];
     shot.open = false;
     shot.may_have_run = end.ending != Ending::turned_away && end.ending != Ending::no_connection &&
@@ -241,7 +246,6 @@
     if (pending.streaming == end.leg) pending.streaming = -1;
     if (!pending.done && end.ending == Ending::not_stored && await_order(now, pending, end.server)) return;
     if (!pending.done && pending.streaming < 0 && !any_open(pending)) place(now, pending);
-    settle(end.event);
   }
 
   void client_gone(Time, EventId id) override {
@@ -249,17 +253,14 @@
     if (it == events_.end()) return;
     it->second.done = true;
     call_off_rest(it->second);
-    settle(id);
   }
 
   void woken(Time now, std::int64_t token) override {
-    const auto reason = static_cast<Reason>(token % 4);
-    if (reason == Reason::housekeeping) return keep_house(now);
-    const auto it = events_.find(token / 4);
+    if (token == housekeeping_token) return keep_house(now);
+    const auto it = events_.find(token - 1);
     if (it == events_.end() || it->second.done || it->second.streaming >= 0) return;
     call_off_rest(it->second);
     give_up(it->second, 0);
-    settle(token / 4);
   }
 
   void probe_ended(Time, const ProbeEnd&) override {}
@@ -400,12 +401,16 @@
     return hash ^ hash >> 33U;
   }
 
+  static bool refuses(Time now, const Server& server, const Pending& pending) {
+    const auto it = server.refusals.find(pending.told.customer);
+    return it != server.refusals.end() && now < it->second.until;
+  }
+
   // Whether a sound server holds the function, so that a load elsewhere would only be a further copy.
-  bool held_soundly(Time now, const Function& function) const {
-    return std::any_of(function.entries.begin(), function.entries.end(), [&](const auto& entry) {
-      const auto it = servers_.find(entry.first);
-      return it != servers_.end() && may_receive(it->second) && !it->second.aside &&
-             warm(now, function, entry.first);
+  bool held_soundly(Time now, const Pending& pending, const Function& function) const {
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+      return may_receive(item.second) && !item.second.aside && !refuses(now, item.second, pending) &&
+             warm(now, function, item.first);
     });
   }
 
@@ -416,7 +421,7 @@
       Server* best = nullptr;
       double best_score = 0;
       int ties = 0;
-      const bool spill_open = spills_ >= 1 || !held_soundly(now, function);
+      const bool spill_open = spills_ >= 1 || !held_soundly(now, pending, function);
       for (auto& [id, server] : servers_) {
         if (now < server.full_until) continue;
         if ((!spill_open || now < server.no_loads_until) && !warm(now, function, id)) continue;
@@ -424,6 +429,7 @@
           continue;
         if (choosy && tried(pending, id, warm(now, function, id))) continue;
         if (choosy && server.aside && !trickles(now, pending, server)) continue;
+        if (choosy && refuses(now, server, pending)) continue;
         const double own = score(now, pending, function, server) + (server.aside && choosy ? 1 : 0);
         if (best == nullptr || own > best_score) {
           best = &server, best_score = own, ties = 1;
@@ -466,7 +472,7 @@
     const ServerId& id = server.told.id;
     Entry& entry = function.entries[id];
     const bool confirmed = entry.confirmed && now - entry.used < d_.keep_alive;
-    if (!warm(now, function, id) && held_soundly(now, function)) spills_ -= 1;
+    if (!warm(now, function, id) && held_soundly(now, pending, function)) spills_ -= 1;
     if (!confirmed) entry.confirmed = false;
     ++entry.open;
     pending.shots.push_back({.server = id, .sent = now, .confirmed = confirmed});
@@ -513,7 +519,7 @@
       if (!shot.open || shot.judged || now < shot.sent + patience(pending, function, shot)) continue;
       Server& server = servers_.at(shot.server);
       if (server.unanswered_since != 0 && server.unanswered_since <= shot.sent) ++server.overdue_in_row;
-      judge_shot(now, server, shot, true);
+      judge_shot(now, server, shot, pending.told.customer, true);
     }
     const Shot& newest = pending.shots.back();
     const Server& server = servers_.at(newest.server);
@@ -550,14 +556,6 @@
     }
     pending.done = true;
     waiting_.erase(pending.told.id);
-    if (!any_open(pending)) finished_.push_back(pending.told.id);
-  }
-
-  void settle(EventId id) {
-    const auto it = events_.find(id);
-    if (it == events_.end() || !it->second.done || any_open(it->second)) return;
-    waiting_.erase(id);
-    events_.erase(it);
   }
 
   void place_waiting(Time now) {
@@ -566,7 +564,6 @@
       const auto it = events_.find(id);
       if (it == events_.end()) continue;
       if (!it->second.done && it->second.waiting) place(now, it->second);
-      settle(id);
     }
   }
 
@@ -601,8 +598,8 @@
     } else if (end.ending == Ending::connection_lost) {
       forget_copies(shot.server);
     }
-    if (!called_off)
-      judge_shot(now, server, shot, end.ending != Ending::honoured && end.ending != Ending::not_stored);
+    const bool good = end.ending == Ending::honoured || end.ending == Ending::not_stored;
+    if (!called_off) judge_shot(now, server, shot, pending.told.customer, !good);
   }
 
   void learn_times(Time now, Pending& pending, Function& function, Server& server, const Shot& shot,
@@ -644,23 +641,39 @@
 
   // ---- Health: by kind of symptom, from own shots, against the fleet's median.
 
-  void judge_shot(Time now, Server& server, Shot& shot, bool bad) {
+  void judge_shot(Time now, Server& server, Shot& shot, const std::string& customer, bool bad) {
     if (shot.judged) return;
     shot.judged = true;
-    for (Tally* tally : {&server.past.at(now), &server.period}) {
+    Refusal& refusal = server.refusals[customer];
+    for (Tally* tally : {&server.past.at(now), &server.period, &refusal.past.at(now)}) {
       tally->judged += 1;
       if (bad) tally->bad += 1;
     }
-    if (bad && !server.aside) consider_aside(now, server);
+    if (!bad) refusal.pause = 0;
+    if (bad && !server.aside) consider_aside(now, server, refusal);
   }
 
-  void consider_aside(Time now, Server& server) {
+  bool stands_out(const Tally& tally) const {
+    const double share = (tally.bad + prior_answers * median_bad_) / (tally.judged + prior_answers);
+    return share > median_bad_ + aside_excess;
+  }
+
+  void consider_aside(Time now, Server& server, Refusal& refusal) {
+    // Bad for one customer while others are served well: only that customer's events go elsewhere for a
+    // while.
+    const Tally tally = server.past.over(now, recent_buckets);
+    const Tally own = refusal.past.over(now, recent_buckets);
+    const Tally others{.judged = tally.judged - own.judged, .bad = tally.bad - own.bad};
+    if (others.judged >= prior_answers && !stands_out(others)) {
+      if (now < refusal.until || (refusal.pause == 0 && !stands_out(own))) return;
+      refusal.pause = std::min(std::max(2 * refusal.pause, trickle_period), longest_pause);
+      refusal.until = now + refusal.pause;
+      return;
+    }
     // Shots overdue in a row, each with no answer of the server since it was sent, are silence, whatever went
     // well before; not so where most servers are late.
-    const Tally tally = server.past.over(now, recent_buckets);
-    const double share = (tally.bad + prior_answers * median_bad_) / (tally.judged + prior_answers);
     const bool silent = server.overdue_in_row >= silent_overdue && median_bad_ < aside_excess;
-    if (share <= median_bad_ + aside_excess && !silent) return;
+    if (!stands_out(tally) && !silent) return;
     std::size_t serving = 0;
     std::size_t aside = 0;
     for (const auto& [id, other] : servers_) {
@@ -734,7 +747,7 @@
     });
     for (auto& [id, pending] : events_) look(now, pending);
     place_waiting(now);
-    for (const EventId id : std::exchange(finished_, {})) settle(id);
+    std::erase_if(events_, [](const auto& item) { return item.second.done && !any_open(item.second); });
   }
 
   static double median(std::vector<double>& values, double otherwise) {
@@ -746,7 +759,7 @@
 
   void wake_housekeeping(Time now) {
     started_ = true;
-    host_.wake(token(0, Reason::housekeeping), now + housekeeping_period);
+    host_.wake(housekeeping_token, now + housekeeping_period);
   }
 
   // Whether the event is beyond its customer's share: a bucket of tokens fills at this router's part of the
@@ -773,13 +786,10 @@
     }
   }
 
-  TypeRow* row(const std::string& name) {
-    const auto it =
-        std::find_if(types_.begin(), types_.end(), [&](const TypeRow& r) { return r.told.name == name; });
-    if (it != types_.end()) return &*it;
-    // Not told at start: the strictest kind.
-    return &types_.emplace_back(
-        TypeRow{{.name = name, .due = second, .effect = Effect::at_most_once}, second / 4.0});
+  // A traffic type that was not told at start is of the strictest kind.
+  TypeRow& row(const std::string& name) {
+    const TrafficType strict{.name = name, .due = second, .effect = Effect::at_most_once};
+    return types_.try_emplace(name, TypeRow{strict, first_usual(strict)}).first->second;
   }
 
   static bool any_open(const Pending& pending) {
@@ -792,18 +802,16 @@
                        [&](const Shot& shot) { return shot.server == server && !(shot.missed && held); });
   }
   static Time span_part(Time span) { return (span + span_parts - 1) / span_parts; }
-  static std::int64_t token(EventId id, Reason reason) { return id * 4 + static_cast<std::int64_t>(reason); }
 
   const Deployment d_;
   Host& host_;
   std::ranlux24_base chance_;
-  std::deque<TypeRow> types_;
+  std::map<std::string, TypeRow> types_;
   std::map<ServerId, Server> servers_;
   std::map<FunctionId, Function> functions_;
   std::map<EventId, Pending> events_;
   std::map<std::string, Tokens> customers_;
   std::set<EventId> waiting_;
-  std::vector<EventId> finished_;
   SpanRing orders_;
   SpanRing events_taken_;
   std::size_t pending_orders_ = 0;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -181,6 +181,22 @@
   EXPECT_EQ(story.shots_of(story.event("f", second / 2)), 1);
 }
 
+TEST(Health, ServerThatRefusesOneCustomerStillServesTheOther) {
+  Story story;
+  story.start(6);
+  const ServerId home = story.honour("f");
+  for (int i = 0; i < 20; ++i) {
+    const EventId id = story.event("f", 3 * second, "refused");
+    if (story.server_of(id) == home) story.end(id, Ending::turned_away);
+    story.pass(second / 10);
+    story.end(id, Ending::honoured);
+    story.pass(second / 2);
+    story.honour("f");
+  }
+  EXPECT_NE(story.server_of(story.event("f", 3 * second, "refused")), home);
+  EXPECT_EQ(story.server_of(story.event("f", 3 * second, "served")), home);
+}
+
 TEST(Health, SilentServerIsLeftByItsEventsAndSetAside) {
   Story story;
   story.start(4);
