--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -30,14 +30,13 @@
 constexpr double trickle_full = 16;         // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;         // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.8;          // score; under a load, so that a standing copy beats a home
-constexpr double load_queue = 0.15;  // score; servers do a few loads at a time, so each waits for part of one
-constexpr double over_share_part = 0.5;  // of the due time left; events beyond a share give way first
-constexpr double share_margin = 1.2;     // of an even part of a quota; clients spread unevenly over routers
-constexpr double spill_share = 0.033;    // further copies an answer; for steady heat, not for a surge
-constexpr double spill_burst = 2;        // further copies at once, of all functions
-constexpr double cold_part = 0.9;        // share of the rule's budget; leaves room for chance and skew
-constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
-constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
+constexpr double over_share_part = 0.5;     // of the due time left; events beyond a share give way first
+constexpr double share_margin = 1.2;   // of an even part of a quota; clients spread unevenly over routers
+constexpr double spill_share = 0.033;  // further copies an answer; for steady heat, not for a surge
+constexpr double spill_burst = 2;      // further copies at once, of all functions
+constexpr double cold_part = 0.9;      // share of the rule's budget; leaves room for chance and skew
+constexpr double learn = 0.05;         // weight of a new answer; some twenty answers make the mean
+constexpr std::size_t order_cap = 4;   // orders pending; a store shared by all is soon crowded
 constexpr Time forget_after = 120 * second;     // time; a function not asked for so long leaves the Index
 constexpr std::int64_t housekeeping_token = 0;  // other tokens are an event's id + 1, for its limit
 
@@ -104,7 +103,6 @@
   Ring<Tally, ring_buckets> past{bucket};
   SpanRing sent;                            // work sent, for the rule on cold servers
   std::map<std::string, Refusal> refusals;  // by customer
-  double loads = 0;                         // under way or waiting there, by its last report
   int overdue_in_row = 0;                   // with no answer between
   Time full_until = 0;                      // turned work away: not asked again before
   Time no_loads_until = 0;                  // the same, for functions it does not hold
@@ -370,9 +368,7 @@
     const int open = entry == function.entries.end() ? 0 : entry->second.open;
     const double excess = std::max(0.0, open + 1 - function.lanes) / function.lanes;
     const bool held = warm(now, function, server.told.id);
-    // A server with loads under way makes a further one wait; its report says so, where reports are given.
-    const double bonus =
-        held ? 0 : home_bonus * function.homes.at(server.told.id) - load_queue * server.loads;
+    const double bonus = held ? 0 : home_bonus * function.homes.at(server.told.id);
     const double wait = wait_at(now, pending, function, server) / load_time(pending, function);
     return (held ? 1 : 0) + bonus - excess - wait;
   }
@@ -578,7 +574,6 @@
     Function& function = functions_[pending.told.function];
     Entry& entry = function.entries[shot.server];
     --server.open;
-    if (const auto loads = end.report.find("x1"); loads != end.report.end()) server.loads = loads->second;
     if (end.ending == Ending::honoured) spills_ = std::min(spills_ + spill_share, spill_burst);
     if (entry.open > 0) --entry.open;
     const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
