--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -30,7 +30,6 @@
 constexpr double trickle_full = 16;         // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;         // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.8;          // score; under a load, so that a standing copy beats a home
-constexpr double one_off_yield = 4;         // loads; a queue of loads that was full has then been worked off
 constexpr double over_share_part = 0.5;     // of the due time left; events beyond a share give way first
 constexpr double share_margin = 1.2;   // of an even part of a quota; clients spread unevenly over routers
 constexpr double spill_share = 0.033;  // further copies an answer; for steady heat, not for a surge
@@ -129,7 +128,6 @@
   double usual = 0;  // time of an answer that found a copy, on a server of usual pace
   double load = 0;   // time of a load; 0: not known
   Time asked = 0;
-  int events = 0;                    // taken since it entered the Index
   std::map<ServerId, double> homes;  // weight as the place for a new load
   std::uint64_t ranked = 0;          // version of the roster they were ranked for
   std::map<ServerId, Entry> entries;
@@ -220,7 +218,6 @@
     Function& function = functions_[told.function];
     function.lanes = std::max(told.lanes, 1.0);
     function.asked = now;
-    function.events += 1;
     if (told.load_time > 0) function.load = static_cast<double>(told.load_time);
     pending.over_share = beyond_share(now, told.customer);
     if (told.left <= d_.tick) return give_up(pending, 0);
@@ -419,10 +416,6 @@
 
   Server* pick(Time now, const Pending& pending, Function& function) {
     rank_homes(pending.told.function, function);
-    // Where loads crowd, functions asked for before go first: a scan of one-off functions must not push them
-    // out.
-    const auto yield =
-        static_cast<Time>(function.events > 1 ? 0 : one_off_yield * load_time(pending, function));
     // First without the servers that failed this event or are set aside, then with what there is.
     for (const bool choosy : {true, false}) {
       Server* best = nullptr;
@@ -431,7 +424,7 @@
       const bool spill_open = spills_ >= 1 || !held_soundly(now, pending, function);
       for (auto& [id, server] : servers_) {
         if (now < server.full_until) continue;
-        if ((!spill_open || now < server.no_loads_until + yield) && !warm(now, function, id)) continue;
+        if ((!spill_open || now < server.no_loads_until) && !warm(now, function, id)) continue;
         if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
           continue;
         if (choosy && tried(pending, id, warm(now, function, id))) continue;
