--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -138,8 +138,7 @@
   Time sent = 0;
   bool open = true;
   bool may_have_run = true;
-  bool refused = false;  // turned away
-  bool missed = false;   // answered that the function is not there
+  bool missed = false;  // answered that the function is not there
   bool judged = false;
   bool confirmed = false;  // the Index held a confirmed entry at the pick
 };
@@ -242,7 +241,6 @@
     shot.may_have_run = end.ending != Ending::turned_away && end.ending != Ending::no_connection &&
                         end.ending != Ending::not_sent && end.ending != Ending::not_stored;
     shot.missed = end.ending == Ending::not_stored;
-    shot.refused = end.ending == Ending::turned_away;
     learn_from(now, pending, shot, end);
     if (pending.done) call_off_rest(pending);
     if (pending.streaming == end.leg) pending.streaming = -1;
@@ -418,10 +416,6 @@
 
   Server* pick(Time now, const Pending& pending, Function& function) {
     rank_homes(pending.told.function, function);
-    // A load that was turned away is tried again at the same place: copies elsewhere would only add to the
-    // crowd.
-    const Shot* last = pending.shots.empty() ? nullptr : &pending.shots.back();
-    const bool refused_load = last != nullptr && last->refused && !last->confirmed;
     // First without the servers that failed this event or are set aside, then with what there is.
     for (const bool choosy : {true, false}) {
       Server* best = nullptr;
@@ -433,7 +427,6 @@
         if ((!spill_open || now < server.no_loads_until) && !warm(now, function, id)) continue;
         if (!may_receive(server) || !may_shoot(now, pending, server) || !cold_room(now, server, pending))
           continue;
-        if (refused_load && id != last->server && !warm(now, function, id)) continue;
         if (choosy && tried(pending, id, warm(now, function, id))) continue;
         if (choosy && server.aside && !trickles(now, pending, server)) continue;
         if (choosy && refuses(now, server, pending)) continue;
