--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -28,15 +28,15 @@
 constexpr Time longest_pause = 8 * second;  // time; a server back in service is noticed within that
 constexpr Time trickle_period = second;     // time; several usual answers, so that a period can be judged
 constexpr double trickle_full = 16;         // shots a period; what a sound server bears without notice
-constexpr double crowd_slope = 0.6;  // usual times; wait that an own open shot adds beside one usually out
-constexpr double home_bonus = 0.8;   // score; under a load, so that a standing copy beats a home
-constexpr double over_share_part = 0.5;  // of the due time left; events beyond a share give way first
-constexpr double share_margin = 1.2;     // of an even part of a quota; clients spread unevenly over routers
-constexpr double spill_share = 0.033;    // further copies an answer; for steady heat, not for a surge
-constexpr double spill_burst = 2;        // further copies at once, of all functions
-constexpr double cold_part = 0.9;        // share of the rule's budget; leaves room for chance and skew
-constexpr double learn = 0.05;           // weight of a new answer; some twenty answers make the mean
-constexpr std::size_t order_cap = 4;     // orders pending; a store shared by all is soon crowded
+constexpr double crowd_slope = 0.3;         // usual times; wait that an own open shot adds for the next
+constexpr double home_bonus = 0.8;          // score; under a load, so that a standing copy beats a home
+constexpr double over_share_part = 0.5;     // of the due time left; events beyond a share give way first
+constexpr double share_margin = 1.2;   // of an even part of a quota; clients spread unevenly over routers
+constexpr double spill_share = 0.033;  // further copies an answer; for steady heat, not for a surge
+constexpr double spill_burst = 2;      // further copies at once, of all functions
+constexpr double cold_part = 0.9;      // share of the rule's budget; leaves room for chance and skew
+constexpr double learn = 0.05;         // weight of a new answer; some twenty answers make the mean
+constexpr std::size_t order_cap = 4;   // orders pending; a store shared by all is soon crowded
 constexpr Time forget_after = 120 * second;     // time; a function not asked for so long leaves the Index
 constexpr std::int64_t housekeeping_token = 0;  // other tokens are an event's id + 1, for its limit
 
@@ -308,15 +308,10 @@
     if (!is_cold(now, server)) return true;
     const double age = std::max(0.0, static_cast<double>(now - server.told.started - d_.fall_span));
     const double share = d_.cold_share + (1 - d_.cold_share) * age / static_cast<double>(d_.cold_span);
-    const double budget =
-        d_.fall_multiple * share * borne(server) * static_cast<double>(d_.fall_span) * cold_part;
-    return server.sent.over(now) + work_of(pending) <= budget;
-  }
-
-  // Work that a warm server of this kind does for this router in a unit of time.
-  double borne(const Server& server) const {
     const auto seen = borne_.find(server.told.kind);
-    return std::max(seen == borne_.end() ? 0 : seen->second, 1.0 / std::max(1, d_.routers));
+    const double borne = std::max(seen == borne_.end() ? 0 : seen->second, 1.0 / std::max(1, d_.routers));
+    const double budget = d_.fall_multiple * share * borne * static_cast<double>(d_.fall_span) * cold_part;
+    return server.sent.over(now) + work_of(pending) <= budget;
   }
 
   // Rule 5. Whether one more order to load is within the ration; the counts err to the safe side.
@@ -358,8 +353,7 @@
 
   // How long an event of the function should take at the server when it finds a copy.
   double wait_at(Time now, const Pending& pending, const Function& function, const Server& server) const {
-    double wait = usual_time(pending, function) * pace(now, server) *
-                  (1 + crowd_slope * server.open / (1 + borne(server)));
+    double wait = usual_time(pending, function) * pace(now, server) * (1 + crowd_slope * server.open);
     // A server that has gone quiet with shots out is waiting at least that long already.
     if (server.unanswered_since != 0) {
       const double quiet = static_cast<double>(now - server.unanswered_since);
