--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -23,7 +23,7 @@
 constexpr double prior_answers = 3;         // answers; what a server must show before its figures are its own
 constexpr double aside_excess = 0.5;        // share; bad beyond the median that sets a server aside
 constexpr double patience_times = 6;        // usual times; an exponential answer is later 1 time in 400
-constexpr int silent_shots = 2;             // shots; one alone is often just a long event
+constexpr int silent_overdue = 2;           // shots; one alone is often just a long event
 constexpr double quiet_times = 3;           // usual times; silence that long makes a server look worse
 constexpr Time longest_pause = 8 * second;  // time; a server back in service is noticed within that
 constexpr Time trickle_period = second;     // time; several usual answers, so that a period can be judged
@@ -103,7 +103,7 @@
   Ring<Tally, ring_buckets> past{bucket};
   SpanRing sent;                            // work sent, for the rule on cold servers
   std::map<std::string, Refusal> refusals;  // by customer
-  int unanswered_in_row = 0;                // with no answer between
+  int overdue_in_row = 0;                   // with no answer between
   Time full_until = 0;                      // turned work away: not asked again before
   Time no_loads_until = 0;                  // the same, for functions it does not hold
   bool aside = false;
@@ -493,8 +493,7 @@
       entry.ordered = true;
       host_.order(id, pending.told.function, 1);
     }
-    // A shot sent now could overtake the order: the event follows in housekeeping, or when the order has
-    // ended.
+    // A shot sent now could overtake the order: the event follows in housekeeping, or when the order has ended.
     pending.waiting = true;
     waiting_.insert(pending.told.id);
     return true;
@@ -519,7 +518,7 @@
     for (Shot& shot : pending.shots) {
       if (!shot.open || shot.judged || now < shot.sent + patience(pending, function, shot)) continue;
       Server& server = servers_.at(shot.server);
-      if (server.unanswered_since != 0 && server.unanswered_since <= shot.sent) ++server.unanswered_in_row;
+      if (server.unanswered_since != 0 && server.unanswered_since <= shot.sent) ++server.overdue_in_row;
       judge_shot(now, server, shot, pending.told.customer, true);
     }
     const Shot& newest = pending.shots.back();
@@ -578,13 +577,12 @@
     if (end.ending == Ending::honoured) spills_ = std::min(spills_ + spill_share, spill_burst);
     if (entry.open > 0) --entry.open;
     const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
-    if (end.ending == Ending::no_connection || end.ending == Ending::connection_lost) {
-      ++server.unanswered_in_row;  // a process that is gone shows sooner so than by its share of bad shots
-    } else if (!called_off && end.ending != Ending::no_answer) {
+    if (!called_off && end.ending != Ending::no_answer && end.ending != Ending::no_connection) {
       server.unanswered_since = server.open > 0 ? now : 0;
-      server.unanswered_in_row = 0;
+      server.overdue_in_row = 0;
+    } else if (server.open == 0) {
+      server.unanswered_since = 0;
     }
-    if (server.open == 0) server.unanswered_since = 0;
     if (end.ending == Ending::honoured) {
       entry.confirmed = true;
       entry.used = now;
@@ -672,9 +670,9 @@
       refusal.until = now + refusal.pause;
       return;
     }
-    // Shots in a row that found no connection or lost it, or are overdue with no answer since, are silence,
-    // whatever went well before; not so where most servers are late.
-    const bool silent = server.unanswered_in_row >= silent_shots && median_bad_ < aside_excess;
+    // Shots overdue in a row, each with no answer of the server since it was sent, are silence, whatever went
+    // well before; not so where most servers are late.
+    const bool silent = server.overdue_in_row >= silent_overdue && median_bad_ < aside_excess;
     if (!stands_out(tally) && !silent) return;
     std::size_t serving = 0;
     std::size_t aside = 0;
