--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -493,7 +493,7 @@
       entry.ordered = true;
       host_.order(id, pending.told.function, 1);
     }
-    // A shot sent now could overtake the order: the event follows in housekeeping, or when the order has ended.
+    // A shot sent now could overtake the order: the event follows in housekeeping, or when the order ends.
     pending.waiting = true;
     waiting_.insert(pending.told.id);
     return true;
