--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -30,7 +30,6 @@
 constexpr double trickle_full = 16;         // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;         // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.8;          // score; under a load, so that a standing copy beats a home
-constexpr double crowd_learn = 0.3;         // weight of a new note; other routers' shots come and go quickly
 constexpr double over_share_part = 0.5;     // of the due time left; events beyond a share give way first
 constexpr double share_margin = 1.2;   // of an even part of a quota; clients spread unevenly over routers
 constexpr double spill_share = 0.033;  // further copies an answer; for steady heat, not for a surge
@@ -118,8 +117,7 @@
 
 // An Index entry: a server believed to hold a copy of a function.
 struct Entry {
-  int open = 0;       // own shots of the function out there; while any is, the entry is predicted
-  double others = 0;  // shots of other routers found there, by notes on the crowd
+  int open = 0;  // own shots of the function out there; while any is, the entry is predicted
   bool ordered = false;
   bool confirmed = false;
   Time used = 0;
@@ -367,7 +365,7 @@
   // Warm score plus load score; both in loads, since a warm hit saves one load.
   double score(Time now, const Pending& pending, const Function& function, const Server& server) const {
     const auto entry = function.entries.find(server.told.id);
-    const double open = entry == function.entries.end() ? 0 : entry->second.open + entry->second.others;
+    const int open = entry == function.entries.end() ? 0 : entry->second.open;
     const double excess = std::max(0.0, open + 1 - function.lanes) / function.lanes;
     const bool held = warm(now, function, server.told.id);
     const double bonus = held ? 0 : home_bonus * function.homes.at(server.told.id);
@@ -578,7 +576,6 @@
     --server.open;
     if (end.ending == Ending::honoured) spills_ = std::min(spills_ + spill_share, spill_burst);
     if (entry.open > 0) --entry.open;
-    if (d_.tells_crowd) entry.others += crowd_learn * (std::max(0, end.crowd - entry.open) - entry.others);
     const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
     if (!called_off && end.ending != Ending::no_answer && end.ending != Ending::no_connection) {
       server.unanswered_since = server.open > 0 ? now : 0;
