--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -30,7 +30,6 @@
 constexpr double trickle_full = 16;         // shots a period; what a sound server bears without notice
 constexpr double crowd_slope = 0.3;         // usual times; wait that an own open shot adds for the next
 constexpr double home_bonus = 0.8;          // score; under a load, so that a standing copy beats a home
-constexpr double busy_slope = 0.5;          // usual times; a full server halves the pace of the next
 constexpr double over_share_part = 0.5;     // of the due time left; events beyond a share give way first
 constexpr double share_margin = 1.2;   // of an even part of a quota; clients spread unevenly over routers
 constexpr double spill_share = 0.033;  // further copies an answer; for steady heat, not for a surge
@@ -104,7 +103,6 @@
   Ring<Tally, ring_buckets> past{bucket};
   SpanRing sent;                            // work sent, for the rule on cold servers
   std::map<std::string, Refusal> refusals;  // by customer
-  double busy = 0;                          // share of its cores in use, by its last report
   int overdue_in_row = 0;                   // with no answer between
   Time full_until = 0;                      // turned work away: not asked again before
   Time no_loads_until = 0;                  // the same, for functions it does not hold
@@ -355,8 +353,7 @@
 
   // How long an event of the function should take at the server when it finds a copy.
   double wait_at(Time now, const Pending& pending, const Function& function, const Server& server) const {
-    double wait = usual_time(pending, function) * pace(now, server) *
-                  (1 + crowd_slope * server.open + busy_slope * server.busy);
+    double wait = usual_time(pending, function) * pace(now, server) * (1 + crowd_slope * server.open);
     // A server that has gone quiet with shots out is waiting at least that long already.
     if (server.unanswered_since != 0) {
       const double quiet = static_cast<double>(now - server.unanswered_since);
@@ -577,7 +574,6 @@
     Function& function = functions_[pending.told.function];
     Entry& entry = function.entries[shot.server];
     --server.open;
-    if (const auto util = end.report.find("util"); util != end.report.end()) server.busy = util->second;
     if (end.ending == Ending::honoured) spills_ = std::min(spills_ + spill_share, spill_burst);
     if (entry.open > 0) --entry.open;
     const bool called_off = end.ending == Ending::called_off || end.ending == Ending::not_sent;
