--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -74,6 +74,12 @@
     }
     throw BadLine("field '" + path(name) + "' has the unknown value '" + value + "'");
   }
+  std::vector<std::string> texts(const char* name) const {
+    std::vector<std::string> values;
+    if (find(name) == nullptr) return values;
+    for (const Json& value : list(name)) values.push_back(as_text(name, value));
+    return values;
+  }
   std::map<std::string, double> numbers(const char* name) const {
     std::map<std::string, double> values;
     const Json* object = find(name);
@@ -126,6 +132,7 @@
   if (fields.find("group") != nullptr) type.group = fields.word<Group>("group", group_words);
   type.memory_span = floor_time(fields.whole("memory-span", 0));
   type.stream = fields.flag("stream");
+  type.due_stretch = fields.number("aim-stretch", 0);
   return type;
 }
 
@@ -158,6 +165,19 @@
   deployment.over_share_worth = info.number("over-share-worth", 1);
   deployment.roster_on_request = info.text("discovery", "pushed") == "on_request";
   deployment.prices = info.numbers("penalties");
+  deployment.result_mix = info.numbers("result-mix");
+  deployment.locations = info.texts("dcs");
+  deployment.stages = info.texts("stages");
+  deployment.stage = static_cast<int>(info.whole("tier", 0));
+  deployment.importance_by_work = info.text("worth-by", "request") == "work";
+  deployment.rating_kind = info.text("weight-kind", "");
+  if (info.find("clients") != nullptr) {
+    deployment.clients_mark_repeats = info.object("clients").flag("marks-retry");
+  }
+  if (info.find("reporting") != nullptr) {
+    deployment.reports = info.object("reporting").text("how", "");
+    deployment.report_names = info.object("reporting").texts("names");
+  }
   for (const Json& entry : info.list("services"))
     deployment.traffic_types.push_back(read_traffic_type(entry));
   if (info.find("tenants") != nullptr) {
@@ -184,6 +204,10 @@
   deployment.peers = permissions.flag("peers");
   deployment.retry_advice = permissions.flag("retry-after");
   deployment.longest_retry_advice = floor_time(permissions.whole("max-retry-after", 0));
+  deployment.shots_a_connection = static_cast<int>(permissions.whole("multiplex", 1));
+  deployment.connection_idle = floor_time(permissions.whole("conn-idle", 0));
+  deployment.cpu_per_event = static_cast<Time>(permissions.number("cpu-us-per-request", 0));
+  deployment.cpu_per_second = static_cast<Time>(permissions.number("cpu-us-per-s", 0));
   deployment.connect_limit = ceil_time(permissions.whole("connect-timeout", 0));
   if (info.find("family-info") != nullptr)
     read_family(info.object("family-info"), info.find("kinds"), deployment);
@@ -418,6 +442,10 @@
     event.left = floor_time(fields.whole("budget"));
     event.memory_mb = fields.number("ram-mb", 0);
     event.lanes = fields.number("width", 1);
+    const std::int64_t opts = fields.whole("opts", 0);
+    if ((opts & 1) != 0) event.work = ceil_time(fields.whole("cost", 0));
+    event.repeat = (opts & 2) != 0;
+    event.write = (opts & 4) != 0;
     event.load_time = ceil_time(static_cast<std::int64_t>(fields.number("load-ms", 0) * 1e6));
     guarded(number, [&](Instance& instance, Time now) { instance.router().event(now, event); });
   } else if (op == "flowing") {
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -152,7 +152,7 @@
 struct Pending {
   Event told;
   TypeRow* type = nullptr;
-  Time arrived = 0;
+  Time due = 0;
   Time limit = 0;  // last moment for a final answer
   bool over_share = false;
   bool done = false;
@@ -208,13 +208,14 @@
 
   // ---- Events and their shots.
   void event(Time now, const Event& told) override {
-    if (!started_) wake_housekeeping(now);
     if (d_.load_window > 0) events_taken_.at(now) += 1;
     Pending& pending = events_[told.id];
     pending.told = told;
     pending.type = &row(told.traffic_type);
-    pending.arrived = now;
     pending.limit = now + told.left - d_.tick;
+    const TrafficType& type = pending.type->told;
+    const auto stretch = static_cast<Time>(type.due_stretch * static_cast<double>(told.work));
+    pending.due = now + std::max(type.due, std::min(type.hard_limit, type.due + stretch));
     Function& function = functions_[told.function];
     function.lanes = std::max(told.lanes, 1.0);
     function.asked = now;
@@ -446,7 +447,7 @@
     pending.waiting = false;
     Function& function = functions_[pending.told.function];
     Server* server = pick(now, pending, function);
-    const auto due_left = static_cast<double>(pending.arrived + pending.type->told.due - now);
+    const auto due_left = static_cast<double>(pending.due - now);
     const auto left = static_cast<double>(pending.limit - now);
     if (server == nullptr) {
       // Nobody may take it now: it waits here while it can still be answered in time.
--- a/src/decide.h
+++ b/src/decide.h
@@ -28,6 +28,8 @@
   Group group = Group::all;
   Time memory_span = 0;
   bool stream = false;
+  double due_stretch =
+      0;  // the due time grows by this multiple of the event's own work, up to the hard limit
 };
 
 struct Customer {
@@ -77,6 +79,20 @@
   std::map<std::string, double> kind_memory_mb;
   std::map<std::string, double> prices;  // points off the result, by the wire's name
   bool roster_on_request = false;
+  // Facts that no decision needs yet.
+  std::vector<std::string> locations;
+  std::vector<std::string> stages;
+  int stage = 0;
+  bool clients_mark_repeats = false;
+  bool importance_by_work = false;
+  std::string rating_kind{};
+  std::string reports{};  // how load reports come
+  std::vector<std::string> report_names;
+  std::map<std::string, double> result_mix;
+  int shots_a_connection = 1;
+  Time connection_idle = 0;
+  Time cpu_per_event = 0;   // microseconds; 0: no limit
+  Time cpu_per_second = 0;  // microseconds
 };
 
 enum class Condition { active, leaving, left };
@@ -101,7 +117,10 @@
   Time left = 0;  // until the client gives up
   double memory_mb = 0;
   double lanes = 1;
-  Time load_time = 0;  // 0: not told
+  Time load_time = 0;   // 0: not told
+  Time work = 0;        // anticipated, on a standard core; 0: not told
+  bool repeat = false;  // a client's further try, where clients mark it
+  bool write = false;
 };
 
 enum class Ending {
