--- /dev/null
+++ b/src/command/main.cpp
@@ -0,0 +1,192 @@
+// The command line. Exit codes: 0 good; 1 a rule broken or an event not honoured, where that was asked; 2
+// wrong use, or a file that is refused; 3 events still open at the end; 4 something could not be opened or
+// reached.
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <stdexcept>
+
+#include "command/send.h"
+#include "command/serve.h"
+#include "deployment/deployment_file.h"
+#include "lab/badday.h"
+#include "standin/clients.h"
+#include "standin/fleet.h"
+#include "standin/roster_board.h"
+
+namespace rushhill::command {
+namespace {
+
+constexpr const char* version = "0.2.0";
+
+transport::Reactor* ended_by_signal = nullptr;
+void on_signal(int) {
+  if (ended_by_signal != nullptr) ended_by_signal->halt();
+}
+
+std::string file_text(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in.is_open()) throw std::runtime_error(path + ": cannot be read");
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+struct StandinPart {
+  std::string day_file, record_file, start_file, roster, listen = "127.0.0.1:0";
+  std::vector<std::string> routers;
+};
+
+void run(transport::Reactor& reactor) {
+  std::signal(SIGPIPE, SIG_IGN);
+  ended_by_signal = &reactor;
+  std::signal(SIGTERM, on_signal);
+  std::signal(SIGINT, on_signal);
+  reactor.run();
+}
+
+int roster(const StandinPart& part) {
+  const standin::Day day = standin::day_from_json(file_text(part.day_file));
+  standin::Record record(part.record_file);
+  transport::Reactor reactor;
+  standin::RosterBoard board(reactor, transport::numeric_address(part.listen), day, record);
+  std::cout << "ready " << board.address().toString() << std::endl;
+  if (!part.start_file.empty())
+    standin::await_start(reactor, part.start_file, [&](Time start) { board.play(start); });
+  run(reactor);
+  record.flush();
+  return 0;
+}
+
+int servers(const StandinPart& part) {
+  const standin::Day day = standin::day_from_json(file_text(part.day_file));
+  standin::Record record(part.record_file);
+  transport::Reactor reactor;
+  standin::Fleet fleet(reactor, day, record);
+  if (!part.roster.empty()) fleet.announce_to(transport::numeric_address(part.roster));
+  std::cout << "ready " << fleet.address(day.servers.front().id).toString() << std::endl;
+  if (!part.start_file.empty())
+    standin::await_start(reactor, part.start_file, [&](Time start) { fleet.play(start); });
+  run(reactor);
+  fleet.close();
+  return 0;
+}
+
+int clients(const StandinPart& part) {
+  const standin::Day day = standin::day_from_json(file_text(part.day_file));
+  standin::Record record(part.record_file);
+  transport::Reactor reactor;
+  std::vector<transport::Address> routers;
+  for (const std::string& router : part.routers) routers.push_back(transport::numeric_address(router));
+  standin::Clients all(reactor, day, routers, record, [&] { reactor.halt(); });
+  std::cout << "ready" << std::endl;
+  if (part.start_file.empty()) {
+    all.play(reactor.now());
+  } else {
+    standin::await_start(reactor, part.start_file, [&](Time start) { all.play(start); });
+  }
+  run(reactor);
+  record.flush();
+  return 0;
+}
+
+int check(const std::string& path) {
+  const deployment::Program program = deployment::read_file(path);
+  for (const std::string& line : program.in_force) std::cout << line << '\n';
+  return 0;
+}
+
+int main_of(int argc, char** argv) {
+  CLI::App app("rushhill: a gateway that runs calls on model servers which load functions on demand");
+  app.require_subcommand(1);
+  app.footer(
+      "Exit codes: 0 good; 1 a rule broken or an event not honoured; 2 wrong use or a refused file;\n"
+      "3 events still open at the end; 4 something could not be opened or reached.");
+
+  std::string file, tally;
+  auto* on_serve = app.add_subcommand("serve", "run one router until SIGTERM");
+  on_serve->add_option("deployment", file, "the deployment file (INI)")->required();
+  on_serve->add_option("--tally", tally, "append the counts to this file at the end, as a line of JSON");
+  auto* on_check = app.add_subcommand("check", "check a deployment file and print what is in force");
+  on_check->add_option("deployment", file, "the deployment file (INI)")->required();
+
+  StandinPart part;
+  auto* on_standin = app.add_subcommand("standin", "the stand-ins: roster, model servers, clients");
+  on_standin->require_subcommand(1);
+  const auto common = [&](CLI::App* on) {
+    on->add_option("--day", part.day_file, "the day's file")->required();
+    on->add_option("--record", part.record_file, "where what is seen is written, a JSON object a line");
+    on->add_option("--start", part.start_file, "wait for this file, which tells the day's start");
+  };
+  auto* on_roster = on_standin->add_subcommand("roster", "a roster that tells changes late");
+  common(on_roster);
+  on_roster->add_option("--listen", part.listen, "address and port; port 0: the system chooses");
+  auto* on_servers = on_standin->add_subcommand("servers", "the day's fleet of model servers");
+  common(on_servers);
+  on_servers->add_option("--roster", part.roster, "the roster to announce them to");
+  auto* on_clients = on_standin->add_subcommand("clients", "the day's clients");
+  common(on_clients);
+  on_clients->add_option("--router", part.routers, "a router's address; may be given again")->required();
+
+  Sending sending;
+  auto* on_send = app.add_subcommand("send", "send one event by hand and print its answer");
+  on_send->add_option("--to", sending.to, "the router's address")->required();
+  on_send->add_option("--type", sending.type, "the event's type")->required();
+  on_send->add_option("--function", sending.function, "the function it calls")->required();
+  on_send->add_option("--customer", sending.customer, "the customer");
+  on_send->add_option("--id", sending.id, "the event's id; drawn where not given");
+  on_send->add_option("--source", sending.source, "the event's source");
+  on_send->add_option("--data", sending.data, "the payload, JSON");
+  on_send->add_option("--within", sending.within_ms, "milliseconds to wait")->check(CLI::Range(1, 3'600'000));
+
+  lab::BadDay bad_day;
+  auto* on_badday =
+      app.add_subcommand("badday", "play a scripted bad day on loopback and judge it by the rules");
+  on_badday->add_option("--events", bad_day.events, "events to send")->check(CLI::Range(100, 10'000'000));
+  on_badday->add_option("--rate", bad_day.rate, "events a second")->check(CLI::Range(1.0, 100'000.0));
+  on_badday->add_option("--seed", bad_day.seed, "of everything drawn");
+  on_badday->add_option("--day", bad_day.day_file, "play this day instead");
+  on_badday->add_option("--keep", bad_day.folder, "keep the records and logs in this folder");
+  on_badday->add_flag("--json", bad_day.json, "print the tally as JSON");
+  auto* on_judge = app.add_subcommand("judge", "judge the records of a day once more");
+  on_judge->add_option("folder", bad_day.folder, "the folder that badday --keep left")->required();
+  on_judge->add_flag("--json", bad_day.json, "print the tally as JSON");
+  auto* on_version = app.add_subcommand("version", "print the version");
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& wrong) {
+    return app.exit(wrong) == 0 ? 0 : 2;
+  }
+  if (on_version->parsed()) std::cout << "rushhill " << version << '\n';
+  if (on_serve->parsed()) return serve(deployment::read_file(file), tally);
+  if (on_check->parsed()) return check(file);
+  if (on_roster->parsed()) return roster(part);
+  if (on_servers->parsed()) return servers(part);
+  if (on_clients->parsed()) return clients(part);
+  if (on_send->parsed()) return send(sending);
+  if (on_badday->parsed()) return lab::play(bad_day);
+  if (on_judge->parsed()) return lab::judge(bad_day);
+  return 0;
+}
+
+}  // namespace
+}  // namespace rushhill::command
+
+int main(int argc, char** argv) {
+  try {
+    return rushhill::command::main_of(argc, argv);
+  } catch (const rushhill::deployment::BadFile& bad) {
+    std::cerr << bad.what() << '\n';
+    return 2;
+  } catch (const std::invalid_argument& bad) {
+    std::cerr << "rushhill: " << bad.what() << '\n';
+    return 2;
+  } catch (const Poco::Exception& bad) {
+    std::cerr << "rushhill: " << bad.displayText() << '\n';
+    return 4;
+  } catch (const std::exception& bad) {
+    std::cerr << "rushhill: " << bad.what() << '\n';
+    return 4;
+  }
+}
--- /dev/null
+++ b/src/core/gateway.cpp
@@ -0,0 +1,306 @@
+#include "core/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rushhill::core {
+namespace {
+
+constexpr std::size_t most_peer_bytes = 256;     // bytes; what one message to a peer may hold
+constexpr std::uint64_t id_space = 1ULL << 51U;  // ids start anywhere below, so that routers' ids differ
+constexpr Time probe_limit = 10'000;             // tenths of a millisecond; a report older than that is none
+
+std::size_t index(Ending ending) { return static_cast<std::size_t>(ending); }
+
+// SplitMix64's last step: spreads the seed over the whole space of ids.
+std::uint64_t spread(std::uint64_t value) {
+  value = (value ^ value >> 30U) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ value >> 27U) * 0x94d049bb133111ebULL;
+  return value ^ value >> 31U;
+}
+
+Time oldest(std::vector<Time>& since, Time otherwise) {
+  if (since.empty()) return otherwise;
+  const Time first = since.front();
+  since.erase(since.begin());
+  return first;
+}
+
+}  // namespace
+
+Gateway::Gateway(const Deployment& deployment, std::uint64_t seed, const Ports& ports)
+    : deployment_(deployment), to_(ports), router_(make_router(deployment, seed, *this)),
+      next_(static_cast<EventId>(spread(seed) % id_space) + 1) {}
+
+Gateway::~Gateway() {
+  for (auto& [id, open] : open_) {
+    to_.clock.withdraw(open.at_limit);
+    for (Leg& leg : open.legs) to_.clock.withdraw(leg.time_out);
+  }
+}
+
+template <typename Call>
+void Gateway::decide(Call call) {
+  const std::int64_t began = to_.clock.nanoseconds();
+  call(*router_, to_.clock.now());
+  module_ns_ += to_.clock.nanoseconds() - began;
+}
+
+std::optional<EventId> Gateway::take(Client& client, Event told, events::CloudEvent message) {
+  if (deployment_.open_cap > 0 && unanswered_ >= static_cast<std::size_t>(deployment_.open_cap)) {
+    ++tally_.refused;
+    return std::nullopt;
+  }
+  const EventId id = next_++;
+  told.id = id;
+  Open& open = open_[id];
+  open.client = &client;
+  open.message = std::move(message);
+  open.taken = to_.clock.now();
+  open.limit = open.taken + told.left;
+  open.at_limit = to_.clock.at(open.limit, [this, id] { expire(id); });
+  ++unanswered_;
+  ++tally_.taken;
+  decide([&](Router& router, Time now) { router.event(now, told); });
+  return id;
+}
+
+void Gateway::client_gone(EventId event) {
+  const auto it = open_.find(event);
+  if (it == open_.end() || it->second.client == nullptr) return;
+  it->second.client = nullptr;
+  if (it->second.concluded) return;
+  ++tally_.gone;
+  conclude(event, it->second, "gone");
+  decide([&](Router& router, Time now) { router.client_gone(now, event); });
+}
+
+// From here on the event only waits for the ends of its shots.
+void Gateway::conclude(EventId event, Open& open, const char* outcome) {
+  --unanswered_;
+  open.concluded = true;
+  to_.clock.soon([this, event] { drop_if_over(event); });
+  if (!to_.diary.wants(Level::debug)) return;
+  to_.diary.line(Level::debug, "final answer",
+                 {{"outcome", outcome},
+                  {"event", open.message.id},
+                  {"source", open.message.source},
+                  {"shots", std::to_string(open.legs.size())},
+                  {"ms", std::to_string(static_cast<double>(to_.clock.now() - open.taken) / 10)}});
+}
+
+void Gateway::drop_if_over(EventId event) {
+  const auto it = open_.find(event);
+  if (it == open_.end()) return;
+  Open& open = it->second;
+  if (!open.concluded || open.owed > 0 || std::ranges::any_of(open.legs, &Leg::open)) return;
+  to_.clock.withdraw(open.at_limit);
+  open_.erase(it);
+}
+
+// The client's time is up. The module has given its answer before; where it has not, the core does.
+void Gateway::expire(EventId event) {
+  const auto it = open_.find(event);
+  if (it == open_.end()) return;
+  Open& open = it->second;
+  if (!open.concluded) {
+    ++tally_.overdue;
+    to_.diary.line(Level::error, "no answer by the hard limit", {{"event", open.message.id}});
+    abandon(event);
+    decide([&](Router& router, Time now) { router.client_gone(now, event); });
+  }
+  for (std::size_t leg = 0; leg < open.legs.size(); ++leg) {
+    if (open.legs[leg].open) give_up_leg(event, static_cast<int>(leg), Ending::no_answer);
+  }
+}
+
+// Closes the shot's connection now; the module hears of it when what it does now is done.
+void Gateway::give_up_leg(EventId event, int leg, Ending ending) {
+  Open& open = open_.at(event);
+  Leg& given_up = open.legs[static_cast<std::size_t>(leg)];
+  given_up.open = false;
+  to_.clock.withdraw(given_up.time_out);
+  to_.carrier.drop(event, leg);
+  ++open.owed;
+  to_.clock.soon([this, event, leg, ending] {
+    --open_.at(event).owed;
+    tell_end(event, leg, {.ending = ending});
+  });
+}
+
+void Gateway::shot_ended(EventId event, int leg, ShotResult result) {
+  const auto it = open_.find(event);
+  if (it == open_.end() || static_cast<std::size_t>(leg) >= it->second.legs.size()) return;
+  Open& open = it->second;
+  Leg& ended = open.legs[static_cast<std::size_t>(leg)];
+  if (!ended.open) return;
+  // In the very tick of the hard limit the limit comes first.
+  if (!open.concluded && to_.clock.now() >= open.limit) return expire(event);
+  ended.open = false;
+  to_.clock.withdraw(ended.time_out);
+  if (result.ending == Ending::honoured && !open.concluded) {
+    ++tally_.honoured;
+    conclude(event, open, "honoured");
+    std::exchange(open.client, nullptr)->honoured(event, std::move(result.reply));
+  }
+  tell_end(event, leg, result);
+}
+
+void Gateway::tell_end(EventId event, int leg, const ShotResult& result) {
+  const Open& open = open_.at(event);
+  const Leg& ended = open.legs[static_cast<std::size_t>(leg)];
+  ++tally_.endings[index(result.ending)];
+  if (to_.diary.wants(Level::debug))
+    to_.diary.line(Level::debug, "shot ended",
+                   {{"event", open.message.id},
+                    {"leg", std::to_string(leg)},
+                    {"server", ended.server},
+                    {"ending", std::to_string(static_cast<int>(result.ending))}});
+  const ShotEnd end{.event = event,
+                    .leg = leg,
+                    .server = ended.server,
+                    .ending = result.ending,
+                    .final = open.concluded,
+                    .taken = to_.clock.now() - ended.sent,
+                    .warmth = result.warmth,
+                    .crowd = result.crowd,
+                    .report = result.report};
+  decide([&](Router& router, Time now) { router.shot_ended(now, end); });
+  drop_if_over(event);
+}
+
+void Gateway::probe_ended(const ServerId& server, Ending ending, const LoadReport& report) {
+  const Time now_is = to_.clock.now();
+  const ProbeEnd end{server, ending, now_is - oldest(probes_out_[server], now_is), report};
+  if (probes_out_[server].empty()) probes_out_.erase(server);
+  decide([&](Router& router, Time now) { router.probe_ended(now, end); });
+}
+
+void Gateway::order_ended(const ServerId& server, const FunctionId& function, Ending ending, int copies) {
+  const Time now_is = to_.clock.now();
+  const auto key = std::pair(server, function);
+  const OrderEnd end{server, function, ending, now_is - oldest(orders_out_[key], now_is), copies};
+  if (orders_out_[key].empty()) orders_out_.erase(key);
+  decide([&](Router& router, Time now) { router.order_ended(now, end); });
+}
+
+void Gateway::roster(RosterForm form, const std::vector<RosterEntry>& entries) {
+  std::vector<ModelServer> servers;
+  std::map<std::string, std::string> told;
+  for (const RosterEntry& entry : entries) {
+    servers.push_back(entry.server);
+    told[entry.server.id] = entry.server.condition == Condition::left ? "" : entry.address;
+  }
+  if (form == RosterForm::complete || form == RosterForm::remembered) {
+    for (const auto& [id, address] : addresses_) told.try_emplace(id, "");
+  }
+  for (const auto& [id, address] : told) {
+    const auto known = addresses_.find(id);
+    if (known != addresses_.end() ? known->second == address : address.empty()) continue;
+    to_.carrier.reach(id, address);
+    if (address.empty()) {
+      addresses_.erase(id);
+    } else {
+      addresses_[id] = address;
+    }
+  }
+  decide([&](Router& router, Time now) { router.roster(now, form, servers); });
+}
+
+void Gateway::peer_told(int router_number, const std::string& bytes) {
+  decide([&](Router& router, Time now) { router.told(now, router_number, bytes); });
+}
+
+void Gateway::shoot(EventId event, const ServerId& server, Time time_out) {
+  const auto it = open_.find(event);
+  if (it == open_.end()) {
+    to_.diary.line(Level::error, "shot for an event that is not open", {{"server", server}});
+    return;
+  }
+  Open& open = it->second;
+  const Time now = to_.clock.now();
+  const int leg = static_cast<int>(open.legs.size());
+  open.legs.push_back({.server = server, .sent = now});
+  if (open.concluded || now >= open.limit || leg >= deployment_.shot_cap) {
+    open.legs.back().open = false;
+    ++open.owed;
+    to_.clock.soon([this, event, leg] {
+      --open_.at(event).owed;
+      tell_end(event, leg, {.ending = Ending::not_sent});
+    });
+    return;
+  }
+  ++tally_.shots;
+  if (time_out > 0) {
+    open.legs.back().time_out =
+        to_.clock.at(now + time_out, [this, event, leg] { give_up_leg(event, leg, Ending::no_answer); });
+  }
+  to_.carrier.shoot(
+      {.event = event, .leg = leg, .server = server, .left = open.limit - now, .message = open.message});
+}
+
+void Gateway::call_off(EventId event, int leg) {
+  const auto it = open_.find(event);
+  if (it == open_.end() || static_cast<std::size_t>(leg) >= it->second.legs.size()) return;
+  if (it->second.legs[static_cast<std::size_t>(leg)].open) give_up_leg(event, leg, Ending::called_off);
+}
+
+// Answers that the module gives leave when it has returned.
+void Gateway::shed(EventId event, Time come_back) {
+  const auto it = open_.find(event);
+  if (it == open_.end() || it->second.concluded) return;
+  ++tally_.shed;
+  conclude(event, it->second, "shed");
+  hand_over(event, [come_back, event](Client& client) { client.shed(event, come_back); });
+}
+
+void Gateway::abandon(EventId event) {
+  const auto it = open_.find(event);
+  if (it == open_.end() || it->second.concluded) return;
+  ++tally_.abandoned;
+  conclude(event, it->second, "abandoned");
+  hand_over(event, [event](Client& client) { client.abandoned(event); });
+}
+
+void Gateway::hand_over(EventId event, std::function<void(Client&)> answer) {
+  ++open_.at(event).owed;
+  to_.clock.soon([this, event, answer = std::move(answer)] {
+    Open& open = open_.at(event);
+    --open.owed;
+    if (open.client != nullptr) answer(*std::exchange(open.client, nullptr));
+    drop_if_over(event);
+  });
+}
+
+void Gateway::wake(std::int64_t token, Time at) {
+  to_.clock.at(at,
+               [this, token] { decide([token](Router& router, Time now) { router.woken(now, token); }); });
+}
+
+void Gateway::probe(const ServerId& server) {
+  ++tally_.probes;
+  probes_out_[server].push_back(to_.clock.now());
+  to_.carrier.probe(server, probe_limit);
+}
+void Gateway::close_idle(const ServerId& server) { to_.carrier.close_idle(server); }
+
+void Gateway::order(const ServerId& server, const FunctionId& function, int copies) {
+  ++tally_.orders;
+  orders_out_[{server, function}].push_back(to_.clock.now());
+  to_.carrier.order(server, function, copies, deployment_.order_limit);
+}
+void Gateway::unload(const ServerId& server, const FunctionId& function) {
+  ++tally_.unloads;
+  to_.carrier.unload(server, function);
+}
+
+void Gateway::tell(int router, const std::string& bytes) {
+  if (!deployment_.peers || bytes.size() > most_peer_bytes) return;
+  ++tally_.told;
+  to_.peers.tell(router, bytes);
+}
+void Gateway::follow(bool on) { to_.roster.follow(on); }
+void Gateway::reload() { to_.roster.reload(); }
+void Gateway::log(const std::string& line) { to_.diary.line(Level::info, "decision", {{"text", line}}); }
+
+}  // namespace rushhill::core
--- /dev/null
+++ b/src/core/gateway.h
@@ -0,0 +1,108 @@
+// The core: holds one module instance, takes events from fronts, carries out what the module decides through
+// the ports, and gives every event its one final answer. Free of sockets; time comes from the Clockwork.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "core/clockwork.h"
+#include "core/ports.h"
+#include "decide.h"
+
+namespace rushhill::core {
+
+struct Tally {
+  std::uint64_t taken = 0, honoured = 0, shed = 0, abandoned = 0, gone = 0, refused = 0;
+  std::uint64_t overdue = 0;  // answered by the core at the hard limit, since the module had not
+  std::uint64_t shots = 0, probes = 0, orders = 0, unloads = 0, told = 0;
+  std::array<std::uint64_t, 9> endings{};  // by Ending
+};
+
+class Gateway final : public Host, public Carried {
+ public:
+  struct Ports {
+    Clockwork& clock;
+    Carrier& carrier;
+    Peers& peers;
+    RosterSource& roster;
+    Diary& diary;
+  };
+  Gateway(const Deployment& deployment, std::uint64_t seed, const Ports& ports);
+  ~Gateway() override;
+
+  // An event whose function, type and times the front has read; `told.id` and, where 0, `told.left` are set
+  // here. Nothing: as many are open as the deployment permits. The answer never comes before this returns.
+  std::optional<EventId> take(Client& client, Event told, events::CloudEvent message);
+  void client_gone(EventId event);
+
+  void roster(RosterForm form, const std::vector<RosterEntry>& entries);
+  void peer_told(int router, const std::string& bytes);
+
+  std::size_t open() const { return unanswered_; }
+  const Tally& tally() const { return tally_; }
+  std::int64_t module_ns() const { return module_ns_; }
+  const Deployment& deployment() const { return deployment_; }
+
+  // Carried
+  void shot_ended(EventId event, int leg, ShotResult result) override;
+  void probe_ended(const ServerId& server, Ending ending, const LoadReport& report) override;
+  void order_ended(const ServerId& server, const FunctionId& function, Ending ending, int copies) override;
+
+ private:
+  struct Leg {
+    ServerId server;
+    Time sent = 0;
+    bool open = true;
+    Alarm time_out{};
+  };
+  struct Open {
+    Client* client = nullptr;  // none: it has been handed its final answer, or its client has gone
+    bool concluded = false;
+    events::CloudEvent message;
+    Time taken = 0, limit = 0;
+    Alarm at_limit;
+    std::vector<Leg> legs;
+    int owed = 0;  // what is put off until the present call returns: ends of shots, the answer
+  };
+
+  // Host
+  void shoot(EventId event, const ServerId& server, Time time_out) override;
+  void call_off(EventId event, int leg) override;
+  void shed(EventId event, Time come_back) override;
+  void abandon(EventId event) override;
+  void wake(std::int64_t token, Time at) override;
+  void probe(const ServerId& server) override;
+  void close_idle(const ServerId& server) override;
+  void order(const ServerId& server, const FunctionId& function, int copies) override;
+  void unload(const ServerId& server, const FunctionId& function) override;
+  void tell(int router, const std::string& bytes) override;
+  void follow(bool on) override;
+  void reload() override;
+  void log(const std::string& line) override;
+
+  void conclude(EventId event, Open& open, const char* outcome);
+  void hand_over(EventId event, std::function<void(Client&)> answer);
+  void expire(EventId event);
+  void give_up_leg(EventId event, int leg, Ending ending);
+  void tell_end(EventId event, int leg, const ShotResult& result);
+  void drop_if_over(EventId event);
+  template <typename Call>
+  void decide(Call call);
+
+  Deployment deployment_;
+  Ports to_;
+  std::unique_ptr<Router> router_;
+  std::unordered_map<EventId, Open> open_;
+  std::map<std::string, std::string> addresses_;
+  std::map<std::pair<ServerId, FunctionId>, std::vector<Time>> orders_out_;
+  std::map<ServerId, std::vector<Time>> probes_out_;
+  EventId next_ = 1;
+  std::size_t unanswered_ = 0;
+  std::int64_t module_ns_ = 0;
+  Tally tally_;
+};
+
+}  // namespace rushhill::core
--- /dev/null
+++ b/src/deployment/deployment_file.h
@@ -0,0 +1,68 @@
+// The deployment file: INI read by inih, every key checked with file, line, key and reason.
+#pragma once
+
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ports.h"
+#include "decide.h"
+
+namespace rushhill::deployment {
+
+// All that was found wrong, a line each: FILE:LINE: KEY: reason.
+class BadFile : public std::runtime_error {
+ public:
+  explicit BadFile(std::vector<std::string> faults);
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  std::vector<std::string> faults_;
+};
+
+struct HttpFrontage {
+  std::string listen{};  // an address with a port, or fd:N
+  int connections = 0;
+  std::uint64_t body = 0;  // bytes
+  int batch = 0;           // events
+  Time head_within = 0;    // from the first byte of a request to the last
+  Time idle = 0;
+  Time wind_up = 0;  // after a stop was asked for
+};
+
+struct ServerLinks {
+  int connections = 0;      // to one server
+  std::uint64_t reply = 0;  // bytes
+};
+
+struct RosterLink {
+  std::string address{};     // of the roster's source; empty: none
+  std::string remembered{};  // file that holds the last complete list; empty: none
+  Time retry = 0;
+};
+
+struct PeerLinks {
+  std::string listen{};
+  std::vector<std::string> addresses{};  // by router number; this router's own place is not used
+};
+
+// Everything that is told at start.
+struct Program {
+  Deployment module{};
+  std::uint64_t seed = 0;  // 0: drawn at start
+  HttpFrontage http{};
+  ServerLinks links{};
+  RosterLink roster{};
+  PeerLinks peers{};
+  core::Level log_least = core::Level::info;
+  bool log_json = false;
+  std::map<std::string, std::string> type_of_event{};  // the event's type attribute to traffic type
+  std::vector<std::string> in_force{};                 // the whole file with every default, a line each
+};
+
+Program read_file(const std::string& path);                         // throws BadFile
+Program read_text(const std::string& path, std::string_view text);  // throws BadFile
+
+}  // namespace rushhill::deployment
--- /dev/null
+++ b/src/fronts/http_front.cpp
@@ -0,0 +1,337 @@
+#include "fronts/http_front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace rushhill::fronts {
+namespace {
+
+using Json = nlohmann::json;
+using transport::HttpProgress;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+constexpr std::size_t read_ahead = 64 * 1024;  // bytes of further requests held while one is answered
+constexpr Time linger = 10'000;  // tenths of a millisecond; the last answer is read before the close
+
+// An answer that is no reply: RFC 9457, with what a client must know before it repeats.
+HttpResponse problem(int status, const char* outcome, bool harmless, const std::string& detail) {
+  const Json body{{"type", std::string("urn:rushhill:problem:") + outcome},
+                  {"title", std::string(transport::reason_of(status))},
+                  {"status", status},
+                  {"detail", detail},
+                  {"outcome", outcome},
+                  {"harmless_to_repeat", harmless}};
+  return {.status = status,
+          .headers = {{"content-type", "application/problem+json"}},
+          .body = body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+// Retry-After counts whole seconds; the exact time stands in the body.
+HttpResponse come_back_later(int status, const char* outcome, Time come_back, const std::string& detail) {
+  HttpResponse response = problem(status, outcome, true, detail);
+  if (come_back <= 0) return response;
+  Json body = Json::parse(response.body);
+  body["retry_after_ms"] = (come_back + 9) / 10;
+  response.body = body.dump();
+  response.headers.emplace_back("retry-after", std::to_string((come_back + 9'999) / 10'000));
+  return response;
+}
+
+HttpResponse malformed(const events::BadEvent& bad) {
+  HttpResponse response = problem(400, "malformed", true, bad.what());
+  Json body = Json::parse(response.body);
+  body["attribute"] = bad.attribute();
+  response.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return response;
+}
+
+}  // namespace
+
+// One client's connection: reads a request, answers it, reads the next.
+class HttpFront::Connection final : public transport::StreamUser, public core::Client {
+ public:
+  Connection(HttpFront& front, const Poco::Net::StreamSocket& socket)
+      : front_(front), reader_({.body = front.rules_.body}) {
+    stream_ = transport::Stream::adopt(front.reactor_, socket, *this);
+    set_alarm(front.rules_.idle);
+  }
+  ~Connection() override {
+    front_.reactor_.withdraw(alarm_);
+    stream_->close();
+  }
+
+  // The client is no longer there: its open events are told so.
+  void leave() {
+    closing_ = true;
+    front_.reactor_.withdraw(alarm_);
+    stream_->close();
+    for (const auto& [event, row] : std::exchange(places_, {})) front_.gateway_.client_gone(event);
+  }
+
+  void arrived(std::string_view bytes) override {
+    if (closing_) return;  // the last answer is on its way
+    in_ += bytes;
+    if (answering_ || stream_->waiting() > 0) {
+      if (in_.size() > read_ahead) stream_->read(false);
+      return;
+    }
+    proceed();
+  }
+
+  void lost(transport::Loss) override { front_.forget(*this); }
+  void drained() override {
+    if (!answering_ && !closing_) next();
+  }
+
+  void honoured(EventId event, events::CloudEvent reply) override {
+    if (batch_) return place(event, 200, Json::parse(events::to_json(reply)), "event", 0);
+    places_.erase(event);
+    HttpResponse response{.status = 200, .headers = events::to_headers(reply)};
+    response.body = std::move(reply.data);
+    answer(std::move(response));
+  }
+  void shed(EventId event, Time come_back) override {
+    put_problem(event, come_back_later(503, "shed", come_back, "the event was not run; it may be sent again"),
+                come_back);
+  }
+  void abandoned(EventId event) override {
+    put_problem(event, problem(504, "abandoned", false, "given up without an answer; the event may have run"),
+                0);
+  }
+
+  // The front stops: an idle connection goes now, one at work after its answer.
+  void wind_up() {
+    if (!answering_ && !closing_ && in_.empty()) close_after();
+  }
+
+ private:
+  void set_alarm(Time span) {
+    front_.reactor_.withdraw(alarm_);
+    alarm_ = front_.reactor_.at(front_.reactor_.now() + span, [this] { overdue(); });
+  }
+
+  void overdue() {
+    if (closing_ || !begun_ || stream_->waiting() > 0) return front_.forget(*this);
+    answer_and_close(problem(408, "too-slow", true, "the request did not arrive whole in time"));
+  }
+
+  void proceed() {
+    if (answering_ || closing_ || in_.empty()) return;
+    if (!std::exchange(begun_, true)) set_alarm(front_.rules_.request_within);
+    switch (reader_.put(in_)) {
+      case HttpProgress::more:
+        if (!std::exchange(told_to_continue_, told_to_continue_ || reader_.wants_continue()) &&
+            told_to_continue_)
+          stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        return;
+      case HttpProgress::bad:
+        return answer_and_close(problem(400, "malformed", true, "this is not HTTP/1.1"));
+      case HttpProgress::head_too_large:
+        return answer_and_close(problem(431, "too-large", true, "the header fields are too long"));
+      case HttpProgress::body_too_large:
+        return answer_and_close(
+            problem(413, "too-large", true,
+                    "the body is longer than " + std::to_string(front_.rules_.body) + " bytes"));
+      case HttpProgress::done:
+        break;
+    }
+    front_.reactor_.withdraw(alarm_);
+    begun_ = told_to_continue_ = false;
+    answering_ = true;
+    const HttpRequest request = reader_.take();
+    keep_alive_ = request.keep_alive;
+    take(request);
+  }
+
+  void take(const HttpRequest& request) {
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    if (path == "/health/live" || path == "/health/ready") {
+      if (request.method != "GET") return not_allowed("GET");
+      const bool good = path == "/health/live" || (front_.ready_ && !front_.winding_up_);
+      return answer({.status = good ? 200 : 503,
+                     .headers = {{"content-type", "text/plain"}},
+                     .body = good ? "yes\n" : "no\n"});
+    }
+    if (path != "/") return answer(problem(404, "unknown-path", true, "events are sent to /"));
+    if (request.method != "POST") return not_allowed("POST");
+    const std::string* type = request.header("content-type");
+    try {
+      switch (events::mode_of(type == nullptr ? "" : *type)) {
+        case events::Mode::binary:
+          return take_one(events::from_headers(request.headers, request.body));
+        case events::Mode::structured:
+          return take_one(events::from_json(request.body));
+        case events::Mode::batched:
+          return take_batch(
+              events::batch_from_json(request.body, static_cast<std::size_t>(front_.rules_.batch)));
+        case events::Mode::unknown_format:
+          break;
+      }
+      answer(problem(415, "unknown-format", true, "events come in binary mode or as JSON"));
+    } catch (const events::BadEvent& bad) {
+      answer(malformed(bad));
+    }
+  }
+
+  void not_allowed(const char* method) {
+    HttpResponse response = problem(405, "wrong-method", true, std::string("only ") + method);
+    response.headers.emplace_back("allow", method);
+    answer(std::move(response));
+  }
+
+  void take_one(events::CloudEvent message) {
+    Event told = front_.intake_.read(message);
+    const auto event = front_.gateway_.take(*this, std::move(told), std::move(message));
+    if (!event) return answer(crowded());
+    places_[*event] = 0;
+  }
+
+  HttpResponse crowded() const {
+    return come_back_later(503, "crowded", front_.rules_.come_back, "as many events are open as permitted");
+  }
+
+  void take_batch(std::vector<events::CloudEvent> messages) {
+    batch_ = true;
+    rows_ = Json::array();
+    for (events::CloudEvent& message : messages) {
+      const std::size_t row = rows_.size();
+      rows_.push_back({{"id", message.id}, {"source", message.source}});
+      try {
+        Event told = front_.intake_.read(message);
+        const auto event = front_.gateway_.take(*this, std::move(told), std::move(message));
+        if (event) {
+          places_[*event] = row;
+        } else {
+          fill(row, 503, Json::parse(crowded().body), "problem");
+        }
+      } catch (const events::BadEvent& bad) {
+        fill(row, 400, Json::parse(malformed(bad).body), "problem");
+      }
+    }
+    if (places_.empty()) answer_batch();
+  }
+
+  void fill(std::size_t row, int status, Json body, const char* form) {
+    rows_[row]["status"] = status;
+    rows_[row][form] = std::move(body);
+  }
+
+  void place(EventId event, int status, Json body, const char* form, Time come_back) {
+    const auto it = places_.find(event);
+    if (it == places_.end()) return;
+    fill(it->second, status, std::move(body), form);
+    if (come_back > 0) rows_[it->second]["retry_after_ms"] = (come_back + 9) / 10;
+    places_.erase(it);
+    if (places_.empty()) answer_batch();
+  }
+
+  void put_problem(EventId event, HttpResponse response, Time come_back) {
+    if (batch_) return place(event, response.status, Json::parse(response.body), "problem", come_back);
+    places_.erase(event);
+    answer(std::move(response));
+  }
+
+  void answer_batch() {
+    batch_ = false;
+    HttpResponse response{.status = 200, .headers = {{"content-type", "application/json"}}};
+    response.body = std::exchange(rows_, Json()).dump(-1, ' ', false, Json::error_handler_t::replace);
+    answer(std::move(response));
+  }
+
+  void answer(HttpResponse response) {
+    keep_alive_ = keep_alive_ && !front_.winding_up_;
+    response.keep_alive = keep_alive_;
+    stream_->write(transport::to_bytes(response));
+    answering_ = false;
+    if (!keep_alive_) return close_after();
+    // A client that does not read its answer is not waited for longer than one that does not send.
+    set_alarm(stream_->waiting() > 0 ? front_.rules_.request_within : front_.rules_.idle);
+    if (stream_->waiting() == 0) next();
+  }
+
+  void answer_and_close(HttpResponse response) {
+    keep_alive_ = false;
+    answer(std::move(response));
+  }
+
+  // The next request, when what runs now has returned.
+  void next() {
+    stream_->read(true);
+    set_alarm(front_.rules_.idle);
+    if (in_.empty()) return;
+    front_.reactor_.soon([this, alive = std::weak_ptr(life_)] {
+      if (!alive.expired()) proceed();
+    });
+  }
+
+  void close_after() {
+    closing_ = true;
+    in_.clear();
+    stream_->read(true);
+    stream_->finish();
+    set_alarm(linger);
+  }
+
+  HttpFront& front_;
+  std::shared_ptr<transport::Stream> stream_;
+  transport::HttpRequestReader reader_;
+  std::string in_;
+  std::map<EventId, std::size_t> places_;  // events that await their answer, and their row in a batch
+  Json rows_;
+  core::Alarm alarm_;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+  bool begun_ = false;      // a part of a request has come
+  bool answering_ = false;  // a whole one has come and is not answered yet
+  bool batch_ = false, keep_alive_ = true, closing_ = false, told_to_continue_ = false;
+};
+
+HttpFront::HttpFront(transport::Reactor& reactor, core::Gateway& gateway, const core::Intake& intake,
+                     core::Diary& diary, const HttpRules& rules)
+    : reactor_(reactor), gateway_(gateway), intake_(intake), diary_(diary), rules_(rules) {}
+HttpFront::~HttpFront() {
+  while (!connections_.empty()) forget(*connections_.begin()->first);
+}
+
+transport::Address HttpFront::listen(const transport::Address& address, bool shared) {
+  listener_ = std::make_unique<transport::Listener>(reactor_, address, shared,
+                                                    [this](const auto& socket) { accept(socket); });
+  return listener_->address();
+}
+transport::Address HttpFront::listen_inherited(int descriptor) {
+  listener_ = std::make_unique<transport::Listener>(reactor_, descriptor,
+                                                    [this](const auto& socket) { accept(socket); });
+  return listener_->address();
+}
+
+void HttpFront::accept(const Poco::Net::StreamSocket& socket) {
+  if (connections_.size() >= static_cast<std::size_t>(rules_.connections)) {
+    diary_.line(core::Level::warning, "connection refused: too many", {});
+    Poco::Net::StreamSocket refused(socket);
+    refused.close();
+    return;
+  }
+  const auto connection = std::make_shared<Connection>(*this, socket);
+  connections_.emplace(connection.get(), connection);
+}
+
+void HttpFront::forget(Connection& connection) {
+  const auto it = connections_.find(&connection);
+  if (it == connections_.end()) return;
+  // It may be the one that is calling: it goes when that call has returned.
+  reactor_.soon([gone = it->second] {});
+  connections_.erase(it);
+  connection.leave();
+}
+
+void HttpFront::wind_up() {
+  winding_up_ = true;
+  listener_.reset();
+  for (const auto& [connection, held] : connections_) connection->wind_up();
+}
+
+}  // namespace rushhill::fronts
--- /dev/null
+++ b/src/fronts/http_front.h
@@ -0,0 +1,56 @@
+// CloudEvents over HTTP: turns requests into events for the core and outcomes into answers. Decides nothing
+// about servers.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/gateway.h"
+#include "core/intake.h"
+#include "transport/http.h"
+#include "transport/reactor.h"
+
+namespace rushhill::fronts {
+
+struct HttpRules {
+  int connections = 20'000;
+  std::uint64_t body = 1024 * 1024;  // bytes
+  int batch = 100;                   // events
+  Time request_within = 100'000;     // tenths of a millisecond, from a request's first byte to its last
+  Time idle = 600'000;               // between requests
+  Time come_back = 0;                // told where as many events are open as permitted; 0: nothing told
+};
+
+class HttpFront {
+ public:
+  HttpFront(transport::Reactor& reactor, core::Gateway& gateway, const core::Intake& intake,
+            core::Diary& diary, const HttpRules& rules);
+  ~HttpFront();
+  HttpFront(const HttpFront&) = delete;
+  HttpFront& operator=(const HttpFront&) = delete;
+
+  transport::Address listen(const transport::Address& address, bool shared);
+  transport::Address listen_inherited(int descriptor);
+  void ready(bool on) { ready_ = on; }  // what /health/ready says
+
+  // Takes no further connection; those that stand are answered with Connection: close.
+  void wind_up();
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  void accept(const Poco::Net::StreamSocket& socket);
+  void forget(Connection& connection);
+
+  transport::Reactor& reactor_;
+  core::Gateway& gateway_;
+  const core::Intake& intake_;
+  core::Diary& diary_;
+  HttpRules rules_;
+  bool ready_ = false, winding_up_ = false;
+  std::unique_ptr<transport::Listener> listener_;
+  std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
+};
+
+}  // namespace rushhill::fronts
--- /dev/null
+++ b/src/lab/badday.cpp
@@ -0,0 +1,211 @@
+#include "lab/badday.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+#include "checker/judge.h"
+#include "lab/processes.h"
+#include "standin/day.h"
+#include "standin/parts.h"
+
+namespace rushhill::lab {
+namespace {
+
+namespace fs = std::filesystem;
+using standin::Day;
+
+constexpr int peer_descriptor = 20;            // what a router's datagram socket is handed down as
+constexpr std::int64_t lead_ns = 300'000'000;  // from all being ready to the day's start
+constexpr int grace_seconds = 30;              // beyond the day's length, before it is called off
+
+std::string text_of(const fs::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in.is_open()) throw std::runtime_error(path.string() + ": cannot be read");
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+void write(const fs::path& path, const std::string& text) {
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error(path.string() + ": cannot be written");
+}
+
+// A folder of its own, gone at the end unless it is to be kept.
+class Folder {
+ public:
+  explicit Folder(const std::string& kept) : kept_(!kept.empty()) {
+    if (kept_) {
+      path_ = kept;
+      fs::create_directories(path_);
+      for (const char* old : {"clients.jsonl", "servers.jsonl", "roster.jsonl", "start", "tally.jsonl"})
+        fs::remove(path_ / old);
+      return;
+    }
+    std::string pattern = (fs::temp_directory_path() / "rushhill-day-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no folder for the day's records");
+    path_ = pattern;
+  }
+  ~Folder() {
+    std::error_code ignored;
+    if (!kept_) fs::remove_all(path_, ignored);
+  }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  std::string operator/(const std::string& name) const { return (path_ / name).string(); }
+
+ private:
+  fs::path path_;
+  bool kept_;
+};
+
+struct RouterPlace {
+  standin::PortHolder port;
+  Poco::Net::DatagramSocket peers{transport::numeric_address("127.0.0.1:0")};
+  std::unique_ptr<Process> process;
+};
+
+class Stage {
+ public:
+  Stage(const Day& day, const Folder& folder) : day_(day), folder_(folder) {
+    write(folder / "day.json", standin::to_json(day));
+    const std::vector<std::string> common{"--day", folder / "day.json", "--start", folder / "start"};
+    roster_ = std::make_unique<Process>("roster", joined({"standin", "roster"}, common, "roster.jsonl"),
+                                        folder / "roster.log");
+    roster_address_ = roster_->ready();
+    std::vector<std::string> of_servers = joined({"standin", "servers"}, common, "servers.jsonl");
+    of_servers.insert(of_servers.end(), {"--roster", roster_address_});
+    servers_ = std::make_unique<Process>("servers", of_servers, folder / "servers.log");
+    servers_->ready();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));  // the servers announce themselves
+    for (int i = 0; i < day.routers; ++i) routers_.push_back(std::make_unique<RouterPlace>());
+    for (int i = 0; i < day.routers; ++i) start_router(i);
+    std::vector<std::string> of_clients = joined({"standin", "clients"}, common, "clients.jsonl");
+    for (const auto& place : routers_) {
+      place->process->ready();
+      of_clients.insert(of_clients.end(), {"--router", place->port.address().toString()});
+    }
+    clients_ = std::make_unique<Process>("clients", of_clients, folder / "clients.log");
+    clients_->ready();
+  }
+
+  void play() {
+    const std::int64_t start = transport::monotonic_ns() + lead_ns;
+    standin::write_start(folder_ / "start", start);
+    const std::int64_t last = start + day_.span() * 100'000 + std::int64_t{grace_seconds} * 1'000'000'000;
+    std::vector<bool> begun(day_.troubles.size()), ended(day_.troubles.size());
+    while (clients_->running()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      const std::int64_t since = (transport::monotonic_ns() - start) / 100'000;
+      if (start + since * 100'000 > last) throw std::runtime_error("the clients did not come to an end");
+      for (std::size_t i = 0; i < day_.troubles.size(); ++i) {
+        const standin::Trouble& trouble = day_.troubles[i];
+        if (trouble.kind != standin::TroubleKind::router_restart) continue;
+        if (!begun[i] && since >= trouble.at) {
+          begun[i] = true;
+          routers_.at(static_cast<std::size_t>(trouble.router))->process->ask_to_end();
+        }
+        if (begun[i] && !ended[i] && since >= trouble.at + trouble.span) {
+          ended[i] = true;
+          finish_router(trouble.router);
+          start_router(trouble.router);
+        }
+      }
+      for (const auto& place : routers_) {
+        if (!place->process->running() && std::ranges::count(begun, true) == std::ranges::count(ended, true))
+          throw std::runtime_error(place->process->name() + " ended by itself");
+      }
+    }
+    if (const int code = clients_->wait(1); code != 0)
+      throw std::runtime_error("the clients ended with " + std::to_string(code));
+    for (int i = 0; i < day_.routers; ++i) routers_[static_cast<std::size_t>(i)]->process->ask_to_end();
+    for (int i = 0; i < day_.routers; ++i) finish_router(i);
+    for (Process* process : {servers_.get(), roster_.get()}) {
+      process->ask_to_end();
+      if (const int code = process->wait(10); code != 0)
+        throw std::runtime_error(process->name() + " ended with " + std::to_string(code));
+    }
+  }
+
+ private:
+  std::vector<std::string> joined(std::vector<std::string> first, const std::vector<std::string>& common,
+                                  const char* record) const {
+    first.insert(first.end(), common.begin(), common.end());
+    first.insert(first.end(), {"--record", folder_ / record});
+    return first;
+  }
+
+  void start_router(int number) {
+    std::vector<std::string> peers;
+    for (const auto& place : routers_) peers.push_back(place->peers.address().toString());
+    const std::string name = "router-" + std::to_string(number);
+    RouterPlace& place = *routers_[static_cast<std::size_t>(number)];
+    const std::string file = folder_ / (name + ".ini");
+    write(file, standin::deployment_of(day_, number, place.port.address().toString(), roster_address_,
+                                       "fd:" + std::to_string(peer_descriptor), peers));
+    place.process = std::make_unique<Process>(
+        name, std::vector<std::string>{"serve", file, "--tally", folder_ / "tally.jsonl"},
+        folder_ / (name + ".log"),
+        std::vector<std::pair<int, int>>{{static_cast<int>(place.peers.impl()->sockfd()), peer_descriptor}});
+  }
+
+  void finish_router(int number) {
+    Process& process = *routers_[static_cast<std::size_t>(number)]->process;
+    if (const int code = process.wait(15); code != 0)
+      throw std::runtime_error(process.name() + " ended with " + std::to_string(code));
+  }
+
+  Day day_;
+  const Folder& folder_;
+  std::string roster_address_;
+  std::vector<std::unique_ptr<RouterPlace>> routers_;
+  std::unique_ptr<Process> roster_, servers_, clients_;
+};
+
+int judge_folder(const std::string& day_file, const std::vector<std::string>& record_files, bool json) {
+  std::vector<nlohmann::json> records;
+  for (const std::string& file : record_files) {
+    std::ifstream in(file);
+    if (!in.is_open()) throw std::runtime_error(file + ": cannot be read");
+    for (nlohmann::json& record : checker::read_records(in, file)) records.push_back(std::move(record));
+  }
+  const checker::Verdict verdict = checker::judge(nlohmann::json::parse(text_of(day_file)), records);
+  if (json) {
+    std::cout << checker::as_json(verdict).dump(2) << '\n';
+  } else {
+    std::cout << checker::as_text(verdict);
+  }
+  return verdict.good() ? 0 : 1;
+}
+
+}  // namespace
+
+int play(const BadDay& of) {
+  const Day day = of.day_file.empty() ? standin::scripted_bad_day(of.events, of.rate, of.seed)
+                                      : standin::day_from_json(text_of(of.day_file));
+  const Folder folder(of.folder);
+  {
+    Stage stage(day, folder);
+    stage.play();
+  }
+  return judge_folder(folder / "day.json",
+                      {folder / "clients.jsonl", folder / "servers.jsonl", folder / "roster.jsonl"}, of.json);
+}
+
+int judge(const BadDay& of) {
+  const fs::path folder = of.folder;
+  return judge_folder((folder / "day.json").string(),
+                      {(folder / "clients.jsonl").string(), (folder / "servers.jsonl").string(),
+                       (folder / "roster.jsonl").string()},
+                      of.json);
+}
+
+}  // namespace rushhill::lab
--- /dev/null
+++ b/src/lab/badday.h
@@ -0,0 +1,22 @@
+// `rushhill badday`: roster, servers, routers and clients as processes of their own, a scripted day, and its
+// judgement from what was seen on the sockets.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace rushhill::lab {
+
+struct BadDay {
+  std::int64_t events = 10'000;
+  double rate = 300;
+  std::uint64_t seed = 1;
+  std::string day_file{}, folder{};
+  bool json = false;
+};
+
+// 0: every event ended once and in time and no rule was broken; 1: not; throws where a process fails.
+int play(const BadDay& day);
+int judge(const BadDay& day);
+
+}  // namespace rushhill::lab
--- /dev/null
+++ b/src/lab/processes.h
@@ -0,0 +1,39 @@
+// Child processes of a played day: started with their own executable, told apart by name, ended by id.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace rushhill::lab {
+
+// The path of the running program.
+std::string own_program();
+
+class Process {
+ public:
+  // Standard error goes to a file; a descriptor may be handed down under a number of the child's.
+  Process(std::string name, const std::vector<std::string>& arguments, const std::string& log,
+          std::vector<std::pair<int, int>> handed_down = {});
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  ~Process();  // ends it where it still runs
+
+  // What follows "ready " on its first line; throws where none comes within so many seconds.
+  std::string ready(int seconds = 10);
+  bool running();
+  void ask_to_end();
+  // Its exit code; -1 where a signal ended it. Kills it after so many seconds.
+  int wait(int seconds);
+  const std::string& name() const { return name_; }
+
+ private:
+  std::string name_;
+  pid_t id_ = -1;
+  int out_ = -1;
+  int status_ = 0;
+  bool ended_ = false;
+};
+
+}  // namespace rushhill::lab
--- /dev/null
+++ b/src/membership/roster_client.cpp
@@ -0,0 +1,105 @@
+#include "membership/roster_client.h"
+
+#include <algorithm>
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+namespace rushhill::membership {
+namespace {
+
+constexpr std::size_t longest_line = 32 * 1024 * 1024;  // bytes; 100,000 servers and their fields
+constexpr int most_doublings = 5;                       // of the pause between tries; 32 times the first
+
+}  // namespace
+
+Time wall_offset_now() {
+  using namespace std::chrono;
+  const auto unix_time = duration_cast<nanoseconds>(system_clock::now().time_since_epoch()).count();
+  return (unix_time - transport::monotonic_ns()) / 100'000;
+}
+
+RosterClient::RosterClient(transport::Reactor& reactor, const transport::Address& address, int router,
+                           Time retry, std::uint64_t seed, core::Diary& diary, Heard heard)
+    : reactor_(reactor), address_(address), router_(router), retry_(retry),
+      chance_(static_cast<std::uint_fast32_t>(seed % 16'777'216)), diary_(diary), heard_(std::move(heard)),
+      wall_offset_(wall_offset_now()) {}
+
+RosterClient::~RosterClient() {
+  reactor_.withdraw(again_);
+  if (stream_) stream_->close();
+}
+
+void RosterClient::follow(bool on) {
+  following_ = on;
+  if (open_) return ask(on ? "follow" : "rest");
+  if (on && !stream_) connect();
+}
+
+void RosterClient::reload() {
+  if (open_) return ask("reload");
+  reload_due_ = true;
+  if (!stream_) connect();
+}
+
+void RosterClient::connect() {
+  reactor_.withdraw(again_);
+  in_.clear();
+  stream_ = transport::Stream::connect(reactor_, address_, *this);
+}
+
+void RosterClient::ask(const char* what) {
+  stream_->write("{\"ask\":\"" + std::string(what) + "\",\"router\":" + std::to_string(router_) + "}\n");
+}
+
+void RosterClient::opened() {
+  open_ = true;
+  if (following_) ask("follow");
+  if (std::exchange(reload_due_, false) && !following_) ask("reload");
+}
+
+void RosterClient::arrived(std::string_view bytes) {
+  in_ += bytes;
+  for (;;) {
+    const std::size_t end = in_.find('\n');
+    if (end == std::string::npos) break;
+    const std::string line = in_.substr(0, end);
+    in_.erase(0, end + 1);
+    try {
+      const RosterWord word = read_word(line, wall_offset_);
+      for (const std::string& remark : word.remarks)
+        diary_.line(core::Level::warning, "roster disagrees with itself", {{"remark", remark}});
+      failures_ = 0;
+      heard_any_ = true;
+      remembered_.hear(word);
+      heard_(word.form, word.entries);
+    } catch (const std::invalid_argument& wrong) {
+      // The list as it stood stays in force; a complete one is asked for on a new connection.
+      diary_.line(core::Level::warning, "roster's word cannot be read", {{"reason", wrong.what()}});
+      stream_->close();
+      return broke();
+    }
+  }
+  if (in_.size() > longest_line) {
+    diary_.line(core::Level::warning, "roster's word is too long", {});
+    stream_->close();
+    broke();
+  }
+}
+
+void RosterClient::lost(transport::Loss) { broke(); }
+
+void RosterClient::broke() {
+  open_ = false;
+  reactor_.soon([gone = std::move(stream_)] {});
+  stream_.reset();
+  heard_(RosterForm::failed, {});
+  // Doubling pauses, each with a part by chance, so that many routers do not come back in one moment.
+  const Time pause = retry_ << std::min(failures_++, most_doublings);
+  const double part = 0.5 + static_cast<double>(chance_()) / static_cast<double>(chance_.max());
+  if (following_ || reload_due_)
+    again_ = reactor_.at(reactor_.now() + static_cast<Time>(static_cast<double>(pause) * part),
+                         [this] { connect(); });
+}
+
+}  // namespace rushhill::membership
--- /dev/null
+++ b/src/membership/roster_client.h
@@ -0,0 +1,58 @@
+// Follows a roster source over a line protocol on TCP: asks, reads words, comes back after a break.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "core/ports.h"
+#include "membership/roster_words.h"
+#include "transport/reactor.h"
+
+namespace rushhill::membership {
+
+class RosterClient final : public core::RosterSource, private transport::StreamUser {
+ public:
+  using Heard = std::function<void(RosterForm, const std::vector<core::RosterEntry>&)>;
+
+  RosterClient(transport::Reactor& reactor, const transport::Address& address, int router, Time retry,
+               std::uint64_t seed, core::Diary& diary, Heard heard);
+  ~RosterClient() override;
+
+  // Asks from now on, also again after every break; `on` as in Host::follow.
+  void follow(bool on) override;
+  void reload() override;
+
+  bool heard_any() const { return heard_any_; }
+  const Remembered& remembered() const { return remembered_; }
+  Time wall_offset() const { return wall_offset_; }
+
+ private:
+  void connect();
+  void ask(const char* what);
+  void broke();
+  void opened() override;
+  void arrived(std::string_view bytes) override;
+  void lost(transport::Loss why) override;
+
+  transport::Reactor& reactor_;
+  transport::Address address_;
+  int router_;
+  Time retry_;
+  std::ranlux24_base chance_;
+  core::Diary& diary_;
+  Heard heard_;
+  std::shared_ptr<transport::Stream> stream_;
+  core::Alarm again_;
+  std::string in_;
+  Remembered remembered_;
+  Time wall_offset_;
+  int failures_ = 0;
+  bool following_ = false, reload_due_ = false, open_ = false, heard_any_ = false;
+};
+
+// What is taken off Unix time, in tenths of a millisecond, to get the clock of this machine's processes.
+Time wall_offset_now();
+
+}  // namespace rushhill::membership
--- /dev/null
+++ b/src/standin/clients.cpp
@@ -0,0 +1,250 @@
+#include "standin/clients.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "events/cloudevent.h"
+
+namespace rushhill::standin {
+namespace {
+
+using Json = nlohmann::json;
+using transport::monotonic_ns;
+
+constexpr Time watch_after = 20'000;  // tenths of a millisecond; a second answer would show by then
+constexpr Time late_slack = 5'000;    // tenths of a millisecond past the limit that a client still listens
+
+std::size_t place(const std::vector<double>& steps, double share) {
+  const auto it = std::ranges::upper_bound(steps, share * steps.back());
+  return static_cast<std::size_t>(std::min(it, std::prev(steps.end())) - steps.begin());
+}
+
+}  // namespace
+
+struct Clients::Event {
+  std::int64_t number = 0;
+  const TypeMake* type = nullptr;
+  const FunctionMake* function = nullptr;
+  Time planned = 0, limit = 0;
+  std::size_t router = 0;
+  int refused = 0;  // routers in a row that could not be reached
+  Link* link = nullptr;
+  core::Alarm alarm;
+  Json line, tries = Json::array(), current;
+  std::string id() const { return "e-" + std::to_string(number); }
+};
+
+class Clients::Link final : public transport::StreamUser {
+ public:
+  Link(Clients& clients, std::size_t router)
+      : clients_(clients), router_(router), reader_({.body = 4 * 1024 * 1024}) {
+    stream_ = transport::Stream::connect(clients.reactor_, clients.routers_[router], *this);
+  }
+  ~Link() override { stream_->close(); }
+
+  void use(Event& event, std::string bytes) {
+    event_ = &event;
+    event.link = this;
+    waiting_ = std::move(bytes);
+    if (open_) opened();
+  }
+  void opened() override {
+    open_ = true;
+    stream_->write(std::exchange(waiting_, {}));
+  }
+  void arrived(std::string_view bytes) override {
+    in_ += bytes;
+    if (event_ == nullptr) {
+      // Nobody asked: a second answer to the event before.
+      clients_.record_.line(
+          {{"what", "extra"}, {"at", monotonic_ns()}, {"id", last_}, {"bytes", in_.size()}});
+      return leave();
+    }
+    for (;;) {
+      const auto progress = reader_.put(in_);
+      if (progress == transport::HttpProgress::more) return;
+      if (progress != transport::HttpProgress::done) return broke("garbled");
+      const auto response = reader_.take();
+      if (response.status < 200) continue;
+      Event& event = *std::exchange(event_, nullptr);
+      last_ = event.id();
+      event.link = nullptr;
+      if (response.keep_alive && in_.empty()) {
+        clients_.idle_[router_].push_back(this);
+      } else if (!in_.empty()) {
+        clients_.record_.line(
+            {{"what", "extra"}, {"at", monotonic_ns()}, {"id", last_}, {"bytes", in_.size()}});
+        leave();
+      } else {
+        leave();
+      }
+      return clients_.answered(event, response);
+    }
+  }
+  void lost(transport::Loss why) override {
+    broke(why == transport::Loss::refused || stream_->handed_over() == 0 ? "no-connection" : "lost");
+  }
+  bool sound() { return !stream_->closed() && !stream_->peer_has_ended(); }
+
+  void leave() {
+    stream_->close();
+    std::erase(clients_.idle_[router_], this);
+    const auto it = clients_.links_.find(this);
+    if (it == clients_.links_.end()) return;
+    clients_.reactor_.soon([gone = it->second] {});
+    clients_.links_.erase(it);
+  }
+
+ private:
+  void broke(const char* how) {
+    Event* event = std::exchange(event_, nullptr);
+    leave();
+    if (event == nullptr) return;
+    event->link = nullptr;
+    clients_.tried(*event, how);
+  }
+
+  Clients& clients_;
+  std::size_t router_;
+  std::shared_ptr<transport::Stream> stream_;
+  transport::HttpResponseReader reader_;
+  Event* event_ = nullptr;
+  std::string in_, waiting_, last_;
+  bool open_ = false;
+};
+
+Clients::Clients(transport::Reactor& reactor, const Day& day, std::vector<transport::Address> routers,
+                 Record& record, std::function<void()> over)
+    : reactor_(reactor), day_(day), routers_(std::move(routers)), record_(record), over_(std::move(over)),
+      chance_(static_cast<std::uint_fast32_t>(day.seed % 16'777'183)), idle_(routers_.size()) {
+  double sum = 0;
+  for (const FunctionMake& make : day_.functions) function_steps_.push_back(sum += make.weight);
+  sum = 0;
+  for (const TypeMake& make : day_.types) type_steps_.push_back(sum += make.share);
+}
+Clients::~Clients() = default;
+
+void Clients::play(Time start) {
+  start_ = start;
+  plan_next();
+}
+
+double Clients::rate_at(Time since) const {
+  double rate = day_.rate;
+  for (const Trouble& trouble : day_.troubles) {
+    if (trouble.kind == TroubleKind::burst && since >= trouble.at && since < trouble.at + trouble.span)
+      rate *= trouble.size;
+  }
+  return rate;
+}
+
+// Open loop: the next event leaves at its own moment, whatever became of the last.
+void Clients::plan_next() {
+  if (sent_ >= day_.events) return;
+  planned_ += -std::log(draw()) / rate_at(static_cast<Time>(planned_)) * 10'000;
+  const Time when = start_ + static_cast<Time>(planned_);
+  reactor_.at(when, [this, when] {
+    auto event = std::make_unique<Event>();
+    event->number = ++sent_;
+    event->type = &day_.types[place(type_steps_, draw())];
+    event->function = &day_.functions[place(function_steps_, draw())];
+    event->planned = when;
+    event->limit = reactor_.now() + event->type->hard_limit;
+    event->router = static_cast<std::size_t>(draw() * static_cast<double>(routers_.size()));
+    event->line = {{"what", "event"},           {"id", event->id()},
+                   {"type", event->type->name}, {"function", event->function->name},
+                   {"sent", monotonic_ns()},    {"limit_ms", event->type->hard_limit / 10}};
+    Event& placed = *event;
+    events_[placed.number] = std::move(event);
+    placed.alarm = reactor_.at(placed.limit + late_slack, [this, &placed] {
+      if (placed.link != nullptr) placed.link->leave();
+      placed.link = nullptr;
+      placed.current["how"] = "silent";
+      end(placed, "none");
+    });
+    send(placed);
+    plan_next();
+  });
+}
+
+Clients::Link* Clients::idle_link(std::size_t router) {
+  auto& idle = idle_[router];
+  while (!idle.empty()) {
+    Link* link = idle.back();
+    idle.pop_back();
+    if (link->sound()) return link;
+    link->leave();
+  }
+  return nullptr;
+}
+
+void Clients::send(Event& event) {
+  const Time left = event.limit - reactor_.now();
+  events::CloudEvent message{
+      .id = event.id(), .source = "/clients/" + std::to_string(day_.seed), .type = event.type->name};
+  message.others = {{"function", event.function->name},
+                    {"memorymb", std::to_string(static_cast<int>(event.function->memory_mb))},
+                    {"lanes", std::to_string(event.function->lanes)},
+                    {"workms", std::to_string(event.function->work / 10)},
+                    {"timeleftms", std::to_string(std::max<Time>(left / 10, 1))}};
+  transport::HttpRequest request{.method = "POST", .target = "/", .headers = events::to_headers(message)};
+  request.headers.emplace_back("host", "rushhill");
+  event.current = {{"router", event.router}, {"sent", monotonic_ns()}};
+  Link* link = idle_link(event.router);
+  if (link == nullptr) {
+    const auto fresh = std::make_shared<Link>(*this, event.router);
+    links_.emplace(fresh.get(), fresh);
+    link = fresh.get();
+  }
+  link->use(event, transport::to_bytes(request));
+}
+
+// A try ended without an answer. Sent again where the router cannot have taken it, or a repeat is harmless.
+void Clients::tried(Event& event, const char* how) {
+  event.current["how"] = how;
+  event.current["ended"] = monotonic_ns();
+  event.tries.push_back(std::exchange(event.current, Json::object()));
+  const bool untaken = std::string_view(how) == "no-connection";
+  const bool harmless =
+      event.type->effect == "reissuable" || (event.type->effect == "numbered" && event.type->group == "all");
+  event.router = (event.router + 1) % routers_.size();
+  const bool some_left = !untaken || ++event.refused < static_cast<int>(2 * routers_.size());
+  if ((untaken || harmless) && some_left && reactor_.now() < event.limit) return send(event);
+  end(event, untaken ? "unreachable" : "unknown");
+}
+
+void Clients::answered(Event& event, const transport::HttpResponse& response) {
+  event.current["how"] = "answered";
+  event.current["status"] = response.status;
+  const char* outcome = "other";
+  if (response.status == 200) outcome = "honoured";
+  if (response.status == 503 || response.status == 504) {
+    const Json body = Json::parse(response.body, nullptr, false);
+    const std::string told = body.is_object() ? body.value("outcome", "") : "";
+    if (response.status == 503 && (told == "shed" || told == "crowded")) outcome = "shed";
+    if (response.status == 504 && told == "abandoned") outcome = "abandoned";
+  }
+  if (response.status == 200 && response.body.find("\"" + event.id() + "\"") == std::string::npos)
+    outcome = "wrong-answer";
+  end(event, outcome);
+}
+
+void Clients::end(Event& event, const char* outcome) {
+  reactor_.withdraw(event.alarm);
+  event.current["ended"] = monotonic_ns();
+  event.tries.push_back(event.current);
+  event.line["ended"] = monotonic_ns();
+  event.line["outcome"] = outcome;
+  event.line["tries"] = event.tries;
+  record_.line(event.line);
+  reactor_.soon([this, number = event.number] {
+    events_.erase(number);
+    if (++ended_ < day_.events) return;
+    record_.flush();
+    reactor_.at(reactor_.now() + watch_after, over_);
+  });
+}
+
+}  // namespace rushhill::standin
--- /dev/null
+++ b/src/standin/clients.h
@@ -0,0 +1,56 @@
+// The clients of a day: events in CloudEvents' binary mode at their planned moments, each followed to its one
+// final answer, and everything seen on the sockets recorded.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "standin/day.h"
+#include "standin/record.h"
+#include "transport/http.h"
+#include "transport/reactor.h"
+
+namespace rushhill::standin {
+
+class Clients {
+ public:
+  // `over` is called once every event has ended and nothing more has come for a while after it.
+  Clients(transport::Reactor& reactor, const Day& day, std::vector<transport::Address> routers,
+          Record& record, std::function<void()> over);
+  ~Clients();
+  void play(Time start);
+
+ private:
+  struct Event;
+  class Link;
+  friend class Link;
+
+  void plan_next();
+  void send(Event& event);
+  void tried(Event& event, const char* how);
+  void answered(Event& event, const transport::HttpResponse& response);
+  void end(Event& event, const char* outcome);
+  Link* idle_link(std::size_t router);
+  double draw() { return (static_cast<double>(chance_()) + 0.5) / (static_cast<double>(chance_.max()) + 1); }
+  double rate_at(Time since) const;
+
+  transport::Reactor& reactor_;
+  Day day_;
+  std::vector<transport::Address> routers_;
+  Record& record_;
+  std::function<void()> over_;
+  std::ranlux24_base chance_;
+  std::vector<double> function_steps_, type_steps_;
+  std::unordered_map<std::int64_t, std::unique_ptr<Event>> events_;
+  std::unordered_map<Link*, std::shared_ptr<Link>> links_;
+  std::vector<std::vector<Link*>> idle_;
+  Time start_ = 0;
+  double planned_ = 0;  // since the start, of the next event
+  std::int64_t sent_ = 0, ended_ = 0;
+};
+
+}  // namespace rushhill::standin
--- /dev/null
+++ b/src/standin/day.cpp
@@ -0,0 +1,310 @@
+#include "standin/day.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+
+namespace rushhill::standin {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array kind_names{
+    "silence",      "mute-head",    "mute-half",  "reset",        "refuse",         "slow",  "fail-fast",
+    "crash",        "lose-answers", "trickle",    "garbage",      "close-on-use",   "drain", "roster-lag",
+    "roster-break", "roster-twice", "store-slow", "store-refuse", "router-restart", "burst"};
+
+std::string ms(Time time) {
+  std::ostringstream text;
+  text << static_cast<double>(time) / 10 << "ms";
+  return text.str();
+}
+
+// Reads a field where it is there; a mistyped one is named.
+template <typename Value>
+void read(const Json& object, const char* name, Value& into) {
+  const auto it = object.find(name);
+  if (it == object.end()) return;
+  try {
+    it->get_to(into);
+  } catch (const Json::exception&) {
+    throw std::invalid_argument(std::string("field '") + name + "' is of the wrong type");
+  }
+}
+
+template <typename Item, typename Read>
+void read_list(const Json& object, const char* name, std::vector<Item>& into, Read read_item) {
+  const auto it = object.find(name);
+  if (it == object.end()) return;
+  if (!it->is_array()) throw std::invalid_argument(std::string("field '") + name + "' is not a list");
+  for (const Json& row : *it) {
+    if (!row.is_object())
+      throw std::invalid_argument(std::string("an entry of '") + name + "' is not an object");
+    Item item;
+    read_item(row, item);
+    into.push_back(std::move(item));
+  }
+}
+
+}  // namespace
+
+const char* name_of(TroubleKind kind) { return kind_names[static_cast<std::size_t>(kind)]; }
+
+const FunctionMake* Day::function(std::string_view name) const {
+  const auto it = std::ranges::find(functions, name, &FunctionMake::name);
+  return it == functions.end() ? nullptr : &*it;
+}
+const TypeMake* Day::type(std::string_view name) const {
+  const auto it = std::ranges::find(types, name, &TypeMake::name);
+  return it == types.end() ? nullptr : &*it;
+}
+Time Day::span() const { return static_cast<Time>(static_cast<double>(events) / rate * 10'000); }
+
+std::string to_json(const Day& day) {
+  Json object{{"seed", day.seed},
+              {"routers", day.routers},
+              {"events", day.events},
+              {"rate", day.rate},
+              {"roster-lag-least", day.roster_lag_least},
+              {"roster-lag-most", day.roster_lag_most},
+              {"missing-answers", day.missing_answers}};
+  object["store"] = {{"fetches-at-once", day.store.fetches_at_once},
+                     {"most-fetches", day.store.most_fetches},
+                     {"fetch-share", day.store.fetch_share}};
+  const RuleFigures& rules = day.rules;
+  object["rules"] = {{"drain-grace", rules.drain_grace},
+                     {"fall-multiple", rules.fall_multiple},
+                     {"fall-span", rules.fall_span},
+                     {"cold-share", rules.cold_share},
+                     {"cold-span", rules.cold_span},
+                     {"load-window", rules.load_window},
+                     {"load-free", rules.load_free},
+                     {"loads-per-event", rules.loads_per_event},
+                     {"shots", rules.shots},
+                     {"second-copies", rules.second_copies}};
+  for (const MachineMake& make : day.servers) {
+    object["servers"].push_back({{"id", make.id},
+                                 {"kind", make.kind},
+                                 {"location", make.location},
+                                 {"cell", make.cell},
+                                 {"cores", make.cores},
+                                 {"speed", make.speed},
+                                 {"memory-mb", make.memory_mb},
+                                 {"loads-at-once", make.loads_at_once},
+                                 {"most-in-hand", make.most_in_hand},
+                                 {"keep-alive", make.keep_alive}});
+  }
+  for (const FunctionMake& make : day.functions) {
+    object["functions"].push_back({{"name", make.name},
+                                   {"memory-mb", make.memory_mb},
+                                   {"lanes", make.lanes},
+                                   {"load", make.load},
+                                   {"work", make.work},
+                                   {"weight", make.weight}});
+  }
+  for (const TypeMake& make : day.types) {
+    object["types"].push_back({{"name", make.name},
+                               {"due", make.due},
+                               {"hard-limit", make.hard_limit},
+                               {"effect", make.effect},
+                               {"group", make.group},
+                               {"memory-span", make.memory_span},
+                               {"share", make.share}});
+  }
+  for (const Trouble& trouble : day.troubles) {
+    object["troubles"].push_back({{"kind", name_of(trouble.kind)},
+                                  {"at", trouble.at},
+                                  {"span", trouble.span},
+                                  {"size", trouble.size},
+                                  {"servers", trouble.servers},
+                                  {"router", trouble.router}});
+  }
+  return object.dump(1);
+}
+
+Day day_from_json(std::string_view text) {
+  const Json object = Json::parse(text, nullptr, false);
+  if (!object.is_object()) throw std::invalid_argument("the day is not a JSON object");
+  Day day;
+  read(object, "seed", day.seed);
+  read(object, "routers", day.routers);
+  read(object, "events", day.events);
+  read(object, "rate", day.rate);
+  read(object, "roster-lag-least", day.roster_lag_least);
+  read(object, "roster-lag-most", day.roster_lag_most);
+  read(object, "missing-answers", day.missing_answers);
+  if (const auto it = object.find("store"); it != object.end()) {
+    read(*it, "fetches-at-once", day.store.fetches_at_once);
+    read(*it, "most-fetches", day.store.most_fetches);
+    read(*it, "fetch-share", day.store.fetch_share);
+  }
+  if (const auto it = object.find("rules"); it != object.end()) {
+    RuleFigures& rules = day.rules;
+    read(*it, "drain-grace", rules.drain_grace);
+    read(*it, "fall-multiple", rules.fall_multiple);
+    read(*it, "fall-span", rules.fall_span);
+    read(*it, "cold-share", rules.cold_share);
+    read(*it, "cold-span", rules.cold_span);
+    read(*it, "load-window", rules.load_window);
+    read(*it, "load-free", rules.load_free);
+    read(*it, "loads-per-event", rules.loads_per_event);
+    read(*it, "shots", rules.shots);
+    read(*it, "second-copies", rules.second_copies);
+  }
+  read_list(object, "servers", day.servers, [](const Json& row, MachineMake& make) {
+    read(row, "id", make.id);
+    read(row, "kind", make.kind);
+    read(row, "location", make.location);
+    read(row, "cell", make.cell);
+    read(row, "cores", make.cores);
+    read(row, "speed", make.speed);
+    read(row, "memory-mb", make.memory_mb);
+    read(row, "loads-at-once", make.loads_at_once);
+    read(row, "most-in-hand", make.most_in_hand);
+    read(row, "keep-alive", make.keep_alive);
+    if (make.id.empty() || make.cores <= 0 || make.speed <= 0)
+      throw std::invalid_argument("a server has no id, no cores or no speed");
+  });
+  read_list(object, "functions", day.functions, [](const Json& row, FunctionMake& make) {
+    read(row, "name", make.name);
+    read(row, "memory-mb", make.memory_mb);
+    read(row, "lanes", make.lanes);
+    read(row, "load", make.load);
+    read(row, "work", make.work);
+    read(row, "weight", make.weight);
+  });
+  read_list(object, "types", day.types, [](const Json& row, TypeMake& make) {
+    read(row, "name", make.name);
+    read(row, "due", make.due);
+    read(row, "hard-limit", make.hard_limit);
+    read(row, "effect", make.effect);
+    read(row, "group", make.group);
+    read(row, "memory-span", make.memory_span);
+    read(row, "share", make.share);
+  });
+  read_list(object, "troubles", day.troubles, [](const Json& row, Trouble& trouble) {
+    std::string kind;
+    read(row, "kind", kind);
+    const auto it = std::ranges::find(kind_names, kind);
+    if (it == kind_names.end()) throw std::invalid_argument("trouble '" + kind + "' is of no known kind");
+    trouble.kind = static_cast<TroubleKind>(it - kind_names.begin());
+    read(row, "at", trouble.at);
+    read(row, "span", trouble.span);
+    read(row, "size", trouble.size);
+    read(row, "servers", trouble.servers);
+    read(row, "router", trouble.router);
+  });
+  if (day.servers.empty() || day.functions.empty() || day.types.empty())
+    throw std::invalid_argument("the day has no servers, no functions or no types");
+  if (day.rate <= 0 || day.events <= 0 || day.routers <= 0)
+    throw std::invalid_argument("rate, events and routers must be above 0");
+  return day;
+}
+
+std::string deployment_of(const Day& day, int router, const std::string& listen, const std::string& roster,
+                          const std::string& peer_listen, const std::vector<std::string>& peers) {
+  std::ostringstream out;
+  const RuleFigures& rules = day.rules;
+  const MachineMake& near = day.servers[static_cast<std::size_t>(router) % day.servers.size()];
+  out << "[router]\nnumber = " << router << "\nrouters = " << day.routers << "\nlocation = " << near.location
+      << "\n\n[rules]\ndrain-grace = " << ms(rules.drain_grace) << "\nfall-multiple = " << rules.fall_multiple
+      << "\nfall-span = " << ms(rules.fall_span) << "\ncold-share = " << rules.cold_share
+      << "\ncold-span = " << ms(rules.cold_span) << "\nload-window = " << ms(rules.load_window)
+      << "\nload-free = " << rules.load_free << "\nloads-per-event = " << rules.loads_per_event
+      << "\n\n[permissions]\nshots = " << rules.shots
+      << "\nsecond-copies = " << (rules.second_copies ? "yes" : "no")
+      << "\npeers = " << (peer_listen.empty() ? "no" : "yes")
+      << "\n\n[functions]\nwhen-missing = " << (day.missing_answers ? "miss" : "load")
+      << "\nkeep-alive = " << ms(day.servers.front().keep_alive) << "\n\n[http]\nlisten = " << listen
+      << "\n\n[roster]\naddress = " << roster << "\n\n";
+  if (!peer_listen.empty()) {
+    out << "[peers]\nlisten = " << peer_listen << "\n";
+    for (std::size_t i = 0; i < peers.size(); ++i) out << "router-" << i << " = " << peers[i] << "\n";
+    out << "\n";
+  }
+  for (const TypeMake& type : day.types) {
+    out << "[traffic " << type.name << "]\ndue = " << ms(type.due) << "\nhard-limit = " << ms(type.hard_limit)
+        << "\neffect = " << type.effect << "\ngroup = " << type.group
+        << "\nmemory-span = " << ms(type.memory_span) << "\nlate-share = 0.3\n\n";
+  }
+  return out.str();
+}
+
+Day scripted_bad_day(std::int64_t events, double rate, std::uint64_t seed) {
+  Day day;
+  day.seed = seed;
+  day.events = events;
+  day.rate = rate;
+  day.rules.load_window = 50'000;
+  day.rules.load_free = 4;
+  day.rules.loads_per_event = 0.2;
+  std::mt19937_64 chance(seed);
+  const auto draw = [&](double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(chance);
+  };
+  constexpr int servers = 14;
+  for (int i = 0; i < servers; ++i) {
+    MachineMake make;
+    make.id = "box-" + std::to_string(i);
+    make.location = i % 2 == 0 ? "old-godown" : "new-office";
+    make.cell = i / 4 + (i % 2) * 100;
+    make.kind = i % 3 == 0 ? "plain-pair" : "quick-pair";
+    make.speed = i % 3 == 0 ? draw(0.9, 1.1) : draw(1.3, 1.6);
+    day.servers.push_back(make);
+  }
+  constexpr int functions = 40;
+  for (int i = 0; i < functions; ++i) {
+    FunctionMake make;
+    make.name = "ward-" + std::to_string(i);
+    make.memory_mb = std::floor(draw(300, 700));
+    make.lanes = i % 2 + 1;
+    make.load = static_cast<Time>(draw(3'000, 6'000));
+    make.work = static_cast<Time>(draw(150, 350));
+    make.weight = std::pow(i + 1, -0.9);
+    day.functions.push_back(make);
+  }
+  day.types = {{"date-lookup", 7'500, 25'000, "reissuable", "all", 0, 0.8},
+               {"counter-form", 7'500, 25'000, "numbered", "location", 50'000, 0.1},
+               {"fee-booking", 7'500, 25'000, "at-most-once", "all", 0, 0.1}};
+  // The day's troubles, spread over its length and over the servers; each has room to end.
+  const Time length = day.span();
+  const auto at = [&](double part) { return static_cast<Time>(part * static_cast<double>(length)); };
+  std::vector<std::string> ids;
+  for (const MachineMake& make : day.servers) ids.push_back(make.id);
+  std::ranges::shuffle(ids, chance);
+  using enum TroubleKind;
+  const auto add = [&](TroubleKind kind, double from, double part, double size, std::vector<std::string> of,
+                       int router = 0) {
+    day.troubles.push_back({kind, at(from), at(part), size, std::move(of), router});
+  };
+  add(slow, 0.08, 0.12, 4, {ids[0]});
+  add(mute_half, 0.10, 0.06, 1, {ids[1]});
+  add(reset, 0.14, 0.04, 1, {ids[2]});
+  add(silence, 0.18, 0.08, 1, {ids[3], ids[4]});
+  add(close_on_use, 0.20, 0.04, 1, {ids[5]});
+  add(roster_lag, 0.22, 0.20, 2, {});
+  add(fail_fast, 0.26, 0.06, 1, {ids[6]});
+  add(refuse, 0.28, 0.05, 1, {ids[7]});
+  add(crash, 0.32, 0.05, 1, {ids[8], ids[9]});
+  add(mute_head, 0.36, 0.05, 1, {ids[10]});
+  add(garbage, 0.40, 0.04, 1, {ids[11]});
+  add(roster_twice, 0.43, 0.05, 1, {ids[12]});
+  add(lose_answers, 0.45, 0.05, 1, {ids[0]});
+  add(trickle, 0.48, 0.06, 1, {ids[1]});
+  add(router_restart, 0.52, 0.03, 1, {}, 1);
+  add(drain, 0.55, 0.10, 1, {ids[2]});
+  add(drain, 0.60, 0.10, 1, {ids[5]});
+  add(drain, 0.65, 0.10, 1, {ids[12]});
+  add(store_slow, 0.66, 0.08, 3, {});
+  add(roster_break, 0.70, 0.02, 1, {});
+  add(burst, 0.74, 0.06, 1.6, {});
+  add(store_refuse, 0.82, 0.03, 1, {});
+  add(silence, 0.86, 0.05, 1, {ids[13]});
+  return day;
+}
+
+}  // namespace rushhill::standin
--- /dev/null
+++ b/src/standin/day.h
@@ -0,0 +1,123 @@
+// A day as a file: the fleet, its functions, the traffic, the troubles with their moments and sizes, and the
+// figures of the rules. The stand-ins play it, the checker judges by it.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decide.h"
+
+namespace rushhill::standin {
+
+struct MachineMake {
+  std::string id{}, kind{}, location{};
+  int cell = 0;
+  double cores = 2;
+  double speed = 1;  // of a core, beside the standard one
+  double memory_mb = 6000;
+  int loads_at_once = 4;
+  int most_in_hand = 200;     // events held, running or waiting; more are turned away
+  Time keep_alive = 120'000;  // an idle copy stands that long
+};
+
+struct StoreMake {
+  double fetches_at_once = 12;  // more slow one another down
+  double most_fetches = 60;     // more are turned away
+  double fetch_share = 0.6;     // of a load's time
+};
+
+struct FunctionMake {
+  std::string name{};
+  double memory_mb = 400;
+  int lanes = 2;
+  Time load = 5'000;
+  Time work = 200;  // on a standard core, on average
+  double weight = 1;
+};
+
+struct TypeMake {
+  std::string name{};
+  Time due = 0, hard_limit = 0;
+  std::string effect = "reissuable";  // reissuable, numbered, at-most-once
+  std::string group = "all";
+  Time memory_span = 0;
+  double share = 1;  // of the events
+};
+
+// Kinds of trouble, as docs/badday.md lists them.
+enum class TroubleKind {
+  silence,         // takes everything, answers nothing
+  mute_head,       // goes silent after the head of an answer
+  mute_half,       // goes silent after half the body
+  reset,           // resets the connection on a request
+  refuse,          // refuses connections
+  slow,            // works so many times slower
+  fail_fast,       // answers errors at once
+  crash,           // dies, comes back cold
+  lose_answers,    // does the work and closes without an answer
+  trickle,         // answers a byte at a time
+  garbage,         // answers what is no HTTP
+  close_on_use,    // closes a kept connection when a request comes
+  drain,           // told to the roster, gone after the span, then back cold
+  roster_lag,      // the roster tells later by so many seconds
+  roster_break,    // the roster drops its followers and starts again
+  roster_twice,    // the roster names servers twice, the second time as draining
+  store_slow,      // loads take so many times longer
+  store_refuse,    // the store turns all fetches away
+  router_restart,  // a router is stopped and started again
+  burst            // so many times the usual events
+};
+
+struct Trouble {
+  TroubleKind kind = TroubleKind::silence;
+  Time at = 0, span = 0;  // from the day's start
+  double size = 1;
+  std::vector<std::string> servers{};
+  int router = 0;
+};
+
+struct RuleFigures {
+  Time drain_grace = 20'000;
+  double fall_multiple = 2;
+  Time fall_span = 15'000;
+  double cold_share = 0.16;
+  Time cold_span = 160'000;
+  Time load_window = 0;
+  double load_free = 0, loads_per_event = 0;
+  int shots = 5;
+  bool second_copies = false;
+};
+
+struct Day {
+  std::uint64_t seed = 1;
+  int routers = 3;
+  std::int64_t events = 10'000;
+  double rate = 300;  // events a second
+  Time roster_lag_least = 2'000, roster_lag_most = 20'000;
+  bool missing_answers = false;  // servers answer that they lack a function instead of loading it
+  std::vector<MachineMake> servers{};
+  StoreMake store{};
+  std::vector<FunctionMake> functions{};
+  std::vector<TypeMake> types{};
+  std::vector<Trouble> troubles{};
+  RuleFigures rules{};
+
+  const FunctionMake* function(std::string_view name) const;
+  const TypeMake* type(std::string_view name) const;
+  Time span() const;  // of the traffic
+};
+
+const char* name_of(TroubleKind kind);
+std::string to_json(const Day& day);
+Day day_from_json(std::string_view text);  // throws std::invalid_argument naming the field
+
+// The deployment file of one of the day's routers.
+std::string deployment_of(const Day& day, int router, const std::string& listen, const std::string& roster,
+                          const std::string& peer_listen, const std::vector<std::string>& peers);
+
+// The scripted bad day: every fault once at least, a rolling drain and a router restarted.
+Day scripted_bad_day(std::int64_t events, double rate, std::uint64_t seed);
+
+}  // namespace rushhill::standin
--- /dev/null
+++ b/src/standin/fleet.cpp
@@ -0,0 +1,513 @@
+#include "standin/fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+
+#include "events/cloudevent.h"
+
+namespace rushhill::standin {
+namespace {
+
+using Json = nlohmann::json;
+using transport::HttpProgress;
+using transport::HttpRequest;
+using transport::HttpResponse;
+using transport::monotonic_ns;
+
+constexpr Time trickle_every = 10;         // tenths of a millisecond between two bytes of a trickled answer
+constexpr Time back_after_drain = 10'000;  // tenths of a millisecond from gone to back
+constexpr double drain_accepts = 0.6;      // of a drain's span in which the server still takes work
+
+double unix_ms() {
+  using namespace std::chrono;
+  return static_cast<double>(duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+}
+
+HttpResponse refusal(int status, const char* never_ran) {
+  return {.status = status, .headers = {{"rushhill-never-ran", never_ran}}};
+}
+
+}  // namespace
+
+// One server: its machine, its port, what ails it.
+class Fleet::Box {
+ public:
+  Box(Fleet& fleet, const MachineMake& make, std::uint64_t seed)
+      : fleet_(fleet),
+        machine(make, fleet.day_.rules, fleet.day_.missing_answers, fleet.store_, fleet.reactor_, seed) {
+    machine.start(false);
+    listen();
+    started();
+  }
+
+  void listen();
+  void deafen(bool reset);  // takes no connection, drops those it has
+  void started() {
+    fleet_.record_.line({{"what", "started"},
+                         {"server", machine.make().id},
+                         {"at", monotonic_ns()},
+                         {"cold", started_ms > 0},
+                         {"cores", machine.make().cores},
+                         {"speed", machine.make().speed},
+                         {"location", machine.make().location},
+                         {"cell", machine.make().cell}});
+  }
+  bool has(TroubleKind kind) const { return ailing.contains(kind); }
+
+  Fleet& fleet_;
+  Machine machine;
+  PortHolder port;
+  std::unique_ptr<transport::Listener> listener;
+  std::unordered_map<Connection*, std::shared_ptr<Connection>> connections;
+  std::map<TroubleKind, int> ailing;
+  std::string condition = "active";
+  double started_ms = 0;  // Unix time; 0: long ago
+};
+
+// One router's connection: reads a request, answers it by the contract and the present faults.
+class Fleet::Connection final : public transport::StreamUser {
+ public:
+  Connection(Box& box, const Poco::Net::StreamSocket& socket) : fleet_(box.fleet_), box_(box), reader_({}) {
+    stream_ = transport::Stream::adopt(fleet_.reactor_, socket, *this);
+  }
+  ~Connection() override { stream_->close(); }
+
+  void arrived(std::string_view bytes) override {
+    in_ += bytes;
+    if (busy_) return;
+    proceed();
+  }
+  void lost(transport::Loss) override { leave("closed-by-router"); }
+
+  // The connection ends; what was open on it is recorded.
+  void leave(const char* how, bool reset = false) {
+    if (gone_) return;
+    gone_ = true;
+    if (reset) stream_->reset();
+    stream_->close();
+    record_end(how);
+    if (job_ != 0) box_.machine.drop(std::exchange(job_, 0));
+    if (mark_ && !line_.contains("began")) fleet_.unmark(mark_);  // it never will run
+    const auto it = box_.connections.find(this);
+    fleet_.reactor_.soon([held = it->second] {});
+    box_.connections.erase(it);
+  }
+
+ private:
+  void proceed() {
+    const HttpProgress progress = reader_.put(in_);
+    if (progress == HttpProgress::more) return;
+    if (progress != HttpProgress::done) return leave("garbled");
+    busy_ = true;
+    ++requests_;
+    const HttpRequest request = reader_.take();
+    open_ = true;
+    line_ = {{"at", monotonic_ns()}, {"server", box_.machine.make().id}};
+    for (const char* name : {"router", "shot"}) {
+      if (const std::string* value = request.header(std::string("rushhill-") + name))
+        line_[name] = std::atoi(value->c_str());
+    }
+    const std::string* meant = request.header("rushhill-server");
+    if (meant != nullptr && *meant != box_.machine.make().id)
+      return answer(refusal(421, "misdirected"), "never-ran");
+    if (request.method == "POST" && request.target == "/") return shot(request);
+    if (request.target == "/v2/health/ready") return answer(probe(), "answered");
+    if (request.target == "/v2/repository/index") return answer(index(), "answered");
+    repository(request);
+  }
+
+  void shot(const HttpRequest& request) {
+    line_["what"] = "shot";
+    events::CloudEvent event;
+    try {
+      event = events::from_headers(request.headers, request.body);
+    } catch (const events::BadEvent& bad) {
+      line_["fault"] = bad.what();
+      return answer({.status = 400}, "error");
+    }
+    const std::string* name = event.other("function");
+    line_["id"] = event.id;
+    line_["source"] = event.source;
+    line_["type"] = event.type;
+    line_["function"] = name == nullptr ? "" : *name;
+    if (box_.has(TroubleKind::reset)) return leave("reset", true);
+    if (box_.has(TroubleKind::close_on_use) && requests_ > 1) return leave("closed-on-use");
+    if (box_.has(TroubleKind::fail_fast)) return answer({.status = 500}, "error");
+    const FunctionMake* function = name == nullptr ? nullptr : fleet_.day_.function(*name);
+    if (function == nullptr) return answer(refusal(404, "not-stored"), "never-ran");
+    line_["work"] = function->work;
+    const TypeMake* type = fleet_.day_.type(event.type);
+    if (type != nullptr && type->effect == "numbered") {
+      bool fresh = false;
+      const auto mark = fleet_.mark(box_, *type, event.source + " " + event.id, fresh);
+      if (!fresh) return repeat(mark, event);
+      return run(*function, event, mark, request);
+    }
+    run(*function, event, nullptr, request);
+  }
+
+  // A numbered event that this group has seen: not run again, answered when the first run has ended.
+  void repeat(const std::shared_ptr<Mark>& mark, const events::CloudEvent& event) {
+    line_["repeat"] = true;
+    const auto reply = [this, event, alive = weak()] {
+      if (!alive.expired() && !gone_) answer_event(event, {.warmth = Warmth::found});
+    };
+    if (mark->done) return reply();
+    mark->waiters.push_back(reply);
+  }
+
+  void run(const FunctionMake& function, const events::CloudEvent& event, const std::shared_ptr<Mark>& mark,
+           const HttpRequest& request) {
+    const std::string* left = request.header("rushhill-time-left-ms");
+    const Time expires = left == nullptr ? 0 : fleet_.reactor_.now() + 10 * std::atoll(left->c_str());
+    const auto began = [this, alive = weak(), line = line_] {
+      // Noted at once: a connection that is gone by then ran its work all the same.
+      Json seen{{"what", "ran"}, {"at", monotonic_ns()}};
+      for (const char* key : {"server", "id", "source", "type", "function", "shot", "router"})
+        if (line.contains(key)) seen[key] = line[key];
+      if (!alive.expired()) line_["began"] = true;
+      fleet_.record_.line(seen);
+    };
+    const bool was_fallen = box_.machine.fallen();
+    answered_at_once_ = false;
+    mark_ = mark;
+    const auto id =
+        box_.machine.take({&function, function.work, expires}, began,
+                          [this, alive = weak(), event, mark, &fleet = fleet_](const Machine::End& end) {
+                            if (mark && end.fate == Fate::ran) {
+                              mark->done = true;
+                              for (const auto& waiter : std::exchange(mark->waiters, {})) waiter();
+                            } else if (mark) {
+                              fleet.unmark(mark);
+                            }
+                            if (alive.expired() || gone_) return;
+                            job_ = 0;
+                            mark_.reset();
+                            answered_at_once_ = true;
+                            finished(event, end);
+                          });
+    if (!answered_at_once_ && !gone_) job_ = id;
+    if (!was_fallen && box_.machine.fallen())
+      fleet_.record_.line({{"what", "fell"}, {"server", box_.machine.make().id}, {"at", monotonic_ns()}});
+  }
+
+  void finished(const events::CloudEvent& event, const Machine::End& end) {
+    switch (end.fate) {
+      case Fate::ran:
+        return answer_event(event, end);
+      case Fate::full:
+        return answer(refusal(503, "full"), "never-ran");
+      case Fate::draining:
+        return answer(refusal(503, "draining"), "never-ran");
+      case Fate::not_stored:
+        return answer(refusal(404, "not-stored"), "never-ran");
+      case Fate::load_failed:
+        return answer(refusal(503, "load-failed"), "never-ran");
+      case Fate::expired:
+        return answer({.status = 504}, "error");
+    }
+  }
+
+  void answer_event(const events::CloudEvent& event, const Machine::End& end) {
+    constexpr const char* copy[] = {"", "found", "began-load", "awaited-load", ""};
+    events::CloudEvent reply{.id = event.id + "-reply",
+                             .source = "/servers/" + box_.machine.make().id,
+                             .type = event.type + ".reply",
+                             .data_content_type = "application/json"};
+    reply.data = Json{{"answers", event.id}, {"by", box_.machine.make().id}}.dump();
+    HttpResponse response{.headers = events::to_headers(reply), .body = reply.data};
+    const char* word = copy[static_cast<std::size_t>(end.warmth)];
+    if (*word != 0) response.headers.emplace_back("rushhill-copy", word);
+    response.headers.emplace_back("rushhill-crowd", std::to_string(end.crowd));
+    response.headers.emplace_back("endpoint-load-metrics", report());
+    answer(std::move(response), "answered");
+  }
+
+  std::string report() const {
+    return "TEXT cpu_utilization=" + std::to_string(box_.machine.busy()) +
+           ", named_metrics.inflight=" + std::to_string(box_.machine.in_hand()) +
+           ", named_metrics.x1=" + std::to_string(box_.machine.loads());
+  }
+
+  HttpResponse probe() const {
+    const Json report{
+        {"cpu_utilization", box_.machine.busy()},
+        {"named_metrics", {{"inflight", box_.machine.in_hand()}, {"x1", box_.machine.loads()}}}};
+    return {.headers = {{"endpoint-load-metrics", "JSON " + report.dump()}}};
+  }
+
+  HttpResponse index() const {
+    Json rows = Json::array();
+    for (const auto& [name, copies] : box_.machine.standing()) {
+      rows.push_back({{"name", name}, {"state", copies > 0 ? "READY" : "UNAVAILABLE"}, {"copies", copies}});
+    }
+    return {.headers = {{"content-type", "application/json"}}, .body = rows.dump()};
+  }
+
+  // The Open Inference Protocol's load and unload, with a parameter for copies.
+  void repository(const HttpRequest& request) {
+    constexpr std::string_view start = "/v2/repository/models/";
+    const std::string& target = request.target;
+    const auto slash = target.rfind('/');
+    if (!target.starts_with(start) || slash < start.size()) return answer({.status = 404}, "error");
+    const std::string name = target.substr(start.size(), slash - start.size());
+    const std::string verb = target.substr(slash + 1);
+    const FunctionMake* function = fleet_.day_.function(name);
+    line_["what"] = verb == "load" ? "order" : "unload";
+    line_["function"] = name;
+    if (function == nullptr) return answer(refusal(404, "not-stored"), "never-ran");
+    if (verb == "unload") {
+      box_.machine.unload(*function);
+      return answer({.status = 200}, "answered");
+    }
+    const Json body = Json::parse(request.body, nullptr, false);
+    int copies = 1;
+    if (body.is_object() && body.contains("parameters") && body["parameters"].is_object())
+      copies = body["parameters"].value("copies", 1);
+    line_["copies"] = copies;
+    box_.machine.hold(*function, std::clamp(copies, 1, 16), [this, alive = weak()](Fate fate, int standing) {
+      if (alive.expired() || gone_) return;
+      HttpResponse response = fate == Fate::ran           ? HttpResponse{.status = 200}
+                              : fate == Fate::load_failed ? HttpResponse{.status = 500}
+                              : fate == Fate::draining    ? refusal(503, "draining")
+                                                          : refusal(503, "full");
+      response.headers.emplace_back("content-type", "application/json");
+      response.body = Json{{"copies", standing}}.dump();
+      answer(std::move(response), fate == Fate::ran ? "answered" : "never-ran");
+    });
+  }
+
+  void answer(HttpResponse response, const char* how) {
+    response.keep_alive = true;
+    const std::string bytes = transport::to_bytes(response);
+    const std::size_t head = bytes.find("\r\n\r\n") + 4;
+    if (box_.has(TroubleKind::silence)) return go_silent("silent");
+    if (box_.has(TroubleKind::lose_answers) && line_.contains("began")) return leave("lost-answer");
+    const bool has_body = bytes.size() > head;  // without one, the head is all of it
+    if (has_body && box_.has(TroubleKind::mute_head)) {
+      stream_->write(bytes.substr(0, head));
+      return go_silent("mute-head");
+    }
+    if (has_body && box_.has(TroubleKind::mute_half)) {
+      stream_->write(bytes.substr(0, head + (bytes.size() - head) / 2));
+      return go_silent("mute-half");
+    }
+    if (box_.has(TroubleKind::garbage)) {
+      stream_->write("\x16\x03 this is no HTTP\r\n\r\n\r\n");
+      return go_silent("garbage");
+    }
+    if (box_.has(TroubleKind::trickle)) return trickle(bytes, 0, how);
+    stream_->write(bytes);
+    done(how);
+  }
+
+  void trickle(const std::string& bytes, std::size_t from, const char* how) {
+    if (from == bytes.size()) return done(how);
+    stream_->write(std::string_view(bytes).substr(from, 1));
+    fleet_.reactor_.at(fleet_.reactor_.now() + trickle_every, [this, alive = weak(), bytes, from, how] {
+      if (!alive.expired() && !gone_) trickle(bytes, from + 1, how);
+    });
+  }
+
+  // Nothing more is written; when the router leaves is still seen.
+  void go_silent(const char* how) { line_["fault"] = how; }
+
+  void done(const char* how) {
+    record_end(how);
+    busy_ = false;
+    if (!in_.empty())
+      fleet_.reactor_.soon([this, alive = weak()] {
+        if (!alive.expired() && !gone_ && !busy_) proceed();
+      });
+  }
+
+  void record_end(const char* how) {
+    if (!std::exchange(open_, false) || !line_.contains("what")) return;
+    line_["ended"] = monotonic_ns();
+    line_["how"] = how;
+    fleet_.record_.line(line_);
+  }
+
+  std::weak_ptr<int> weak() const { return life_; }
+
+  Fleet& fleet_;
+  Box& box_;
+  std::shared_ptr<transport::Stream> stream_;
+  transport::HttpRequestReader reader_;
+  std::string in_;
+  Json line_;
+  Machine::JobId job_ = 0;
+  std::shared_ptr<Mark> mark_;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+  int requests_ = 0;
+  bool busy_ = false, open_ = false, gone_ = false, answered_at_once_ = false;
+};
+
+void Fleet::Box::listen() {
+  if (listener) return;
+  listener = std::make_unique<transport::Listener>(
+      fleet_.reactor_, port.address(), true, [this](const Poco::Net::StreamSocket& socket) {
+        const auto connection = std::make_shared<Connection>(*this, socket);
+        connections.emplace(connection.get(), connection);
+      });
+}
+
+void Fleet::Box::deafen(bool reset) {
+  listener.reset();
+  while (!connections.empty()) {
+    const auto held = connections.begin()->second;
+    held->leave(reset ? "died" : "closed-by-server", reset);
+  }
+}
+
+Fleet::Fleet(transport::Reactor& reactor, const Day& day, Record& record)
+    : reactor_(reactor), day_(day), record_(record), store_(day.store) {
+  std::uint64_t seed = day.seed;
+  for (const MachineMake& make : day_.servers) boxes_[make.id] = std::make_unique<Box>(*this, make, ++seed);
+}
+Fleet::~Fleet() { close(); }
+
+void Fleet::close() {
+  for (auto& [id, box] : boxes_) {
+    box->listener.reset();
+    while (!box->connections.empty()) {
+      const auto held = box->connections.begin()->second;
+      held->leave("open-at-end");
+    }
+  }
+  record_.flush();
+}
+
+transport::Address Fleet::address(const std::string& server) const {
+  return boxes_.at(server)->port.address();
+}
+Machine& Fleet::machine(const std::string& server) { return boxes_.at(server)->machine; }
+
+std::string Fleet::entry(const std::string& server) const {
+  const Box& box = *boxes_.at(server);
+  const MachineMake& make = box.machine.make();
+  Json row{{"id", make.id},
+           {"address", box.port.address().toString()},
+           {"condition", box.condition},
+           {"rating", make.cores * make.speed},
+           {"kind", make.kind},
+           {"location", make.location},
+           {"cell", make.cell}};
+  if (box.started_ms > 0) row["started_ms"] = box.started_ms;
+  return row.dump();
+}
+
+void Fleet::announce_to(const transport::Address& roster) {
+  roster_ = std::make_unique<Lines>(reactor_, roster, [this] {
+    for (const auto& [id, box] : boxes_) announce(id);
+  });
+}
+void Fleet::announce(const std::string& server) {
+  if (roster_ && roster_->open()) roster_->write("{\"announce\":" + entry(server) + "}");
+}
+
+std::shared_ptr<Fleet::Mark>& Fleet::mark(const Box& box, const TypeMake& type, const std::string& text,
+                                          bool& fresh) {
+  const MachineMake& make = box.machine.make();
+  const std::string group = type.group == "location" ? make.location
+                            : type.group == "cell"   ? std::to_string(make.cell)
+                                                     : "";
+  const std::string key = group + " " + text;
+  auto& known = marks_[key];
+  fresh = !known;
+  if (fresh) {
+    known = std::make_shared<Mark>();
+    reactor_.at(reactor_.now() + type.memory_span, [this, key] { marks_.erase(key); });
+  }
+  return known;
+}
+
+void Fleet::unmark(const std::shared_ptr<Mark>& mark) {
+  std::erase_if(marks_, [&](const auto& known) { return known.second == mark; });
+}
+
+void Fleet::play(Time start) {
+  for (const Trouble& trouble : day_.troubles) {
+    const auto ring = [&](Time when, auto call) { reactor_.at(start + when, call); };
+    if (trouble.kind == TroubleKind::store_slow || trouble.kind == TroubleKind::store_refuse) {
+      const bool refuse = trouble.kind == TroubleKind::store_refuse;
+      ring(trouble.at, [this, refuse, size = trouble.size] { store_.trouble(refuse ? 1 : size, refuse); });
+      ring(trouble.at + trouble.span, [this] { store_.trouble(1, false); });
+      continue;
+    }
+    for (const std::string& server : trouble.servers) {
+      if (!boxes_.contains(server))
+        throw std::invalid_argument("a trouble names the unknown server " + server);
+      if (trouble.kind == TroubleKind::drain) {
+        const auto accepts = static_cast<Time>(drain_accepts * static_cast<double>(trouble.span));
+        ring(trouble.at + accepts, [this, server] { machine(server).drain(true); });
+      }
+      ring(trouble.at, [this, trouble, server] { this->trouble(trouble.kind, server, trouble.size, true); });
+      ring(trouble.at + trouble.span,
+           [this, trouble, server] { this->trouble(trouble.kind, server, trouble.size, false); });
+    }
+  }
+}
+
+void Fleet::trouble(TroubleKind kind, const std::string& server, double size, bool begins) {
+  Box& box = *boxes_.at(server);
+  record_.line({{"what", "trouble"},
+                {"kind", name_of(kind)},
+                {"server", server},
+                {"begins", begins},
+                {"at", monotonic_ns()}});
+  if (begins) ++box.ailing[kind];
+  if (!begins && --box.ailing[kind] <= 0) box.ailing.erase(kind);
+  const auto reborn = [this, &box, server] {
+    box.condition = "active";
+    box.started_ms = unix_ms();
+    box.machine.start(true);
+    box.started();
+    box.listen();
+    announce(server);
+  };
+  switch (kind) {
+    case TroubleKind::slow:
+      box.machine.slow_down(begins ? size : 1);
+      break;
+    case TroubleKind::refuse:
+      if (begins) box.deafen(false);
+      if (!begins) box.listen();
+      break;
+    case TroubleKind::crash:
+      if (begins) {
+        box.condition = "gone";
+        box.deafen(true);
+        box.machine.stop();
+        announce(server);
+      } else {
+        reborn();
+      }
+      break;
+    case TroubleKind::drain:
+      box.condition = begins ? "draining" : "gone";
+      announce(server);
+      if (begins) break;
+      box.deafen(false);
+      box.machine.stop();
+      reactor_.at(reactor_.now() + back_after_drain, reborn);
+      break;
+    case TroubleKind::silence:
+    case TroubleKind::mute_head:
+    case TroubleKind::mute_half:
+      // What hung stays hung; its connections go when the trouble ends.
+      if (!begins) {
+        box.deafen(false);
+        box.listen();
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace rushhill::standin
--- /dev/null
+++ b/src/standin/machine.h
@@ -0,0 +1,137 @@
+// One model server as a model: cores, lanes, copies in memory, loads through a shared store, a cold start
+// that falls over when pushed. No sockets; time and chance are handed in, so that an emulator can play it
+// too.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/clockwork.h"
+#include "standin/day.h"
+
+namespace rushhill::standin {
+
+// The store that all machines fetch functions from: slower when crowded, refusing past a limit.
+class Store {
+ public:
+  explicit Store(const StoreMake& make) : make_(make) {}
+  // How long a fetch of usual length takes if it begins now; below 0: turned away.
+  Time begin(Time usual);
+  void end() { under_way_ -= 1; }
+  void trouble(double slowness, bool refusing) { slowness_ = slowness, refusing_ = refusing; }
+  double fetch_share() const { return make_.fetch_share; }
+  std::int64_t fetches() const { return fetches_; }
+
+ private:
+  StoreMake make_;
+  double under_way_ = 0, slowness_ = 1;
+  bool refusing_ = false;
+  std::int64_t fetches_ = 0;
+};
+
+enum class Fate { ran, full, draining, not_stored, load_failed, expired };
+
+struct Job {
+  const FunctionMake* function = nullptr;
+  Time work = 0;     // on a standard core
+  Time expires = 0;  // work whose time is up is not begun
+};
+
+class Machine {
+ public:
+  using JobId = std::uint64_t;
+  struct End {
+    Fate fate = Fate::ran;
+    Warmth warmth = Warmth::untold;
+    int crowd = 0;
+  };
+  using Began = std::function<void()>;
+  using Done = std::function<void(const End&)>;
+  using Held = std::function<void(Fate, int copies)>;
+
+  Machine(const MachineMake& make, const RuleFigures& rules, bool missing_answers, Store& store,
+          core::Clockwork& clock, std::uint64_t seed);
+  ~Machine();
+
+  // `began` when it runs for certain, `done` at the end, at once where it is turned away.
+  JobId take(const Job& job, Began began, Done done);
+  void drop(JobId job);  // its caller has gone: what has not begun never will
+  void hold(const FunctionMake& function, int copies, Held held);
+  void unload(const FunctionMake& function);
+  std::vector<std::pair<std::string, int>> standing() const;
+
+  void start(bool cold);  // empty; with all its power at once or cold
+  void stop();            // all work and copies are gone; nothing more is called
+  void drain(bool on) { draining_ = on; }
+  void slow_down(double times) { slowness_ = times; }
+
+  bool fallen() const { return fallen_; }
+  double busy() const { return static_cast<double>(running_) / make_.cores; }
+  int in_hand() const { return static_cast<int>(jobs_.size()); }
+  int loads() const { return loading_ + static_cast<int>(load_queue_.size()); }
+  double power(Time now) const;  // of its whole power at that age, from cold_share to 1
+  const MachineMake& make() const { return make_; }
+
+ private:
+  struct Copies;
+  struct Running {
+    Job job;
+    Began began;
+    Done done;
+    End end;
+    bool on_core = false;
+    Copies* copies = nullptr;
+  };
+  struct Waiting {
+    int copies = 0;
+    Held held;
+  };
+  struct Copies {
+    const FunctionMake* function = nullptr;
+    int standing = 0, loading = 0, queued = 0, busy_lanes = 0;
+    std::deque<JobId> queue;
+    std::vector<Waiting> holds;
+    Time idle_since = 0;
+  };
+
+  Copies& copies_of(const FunctionMake& function);
+  bool make_room(double memory_mb);
+  bool ask_load(Copies& copies);
+  void next_load();
+  void loaded(Copies& copies, bool good);
+  void serve(Copies& copies);
+  void next_on_core();
+  void finish(JobId id);
+  void tell_holds(Copies& copies, Fate failed);
+  void expire_idle(Copies& copies);
+  bool push(Time now, Time work);
+  void at(Time when, std::function<void()> call);
+
+  MachineMake make_;
+  RuleFigures rules_;
+  bool missing_answers_;
+  Store& store_;
+  core::Clockwork& clock_;
+  std::ranlux24_base chance_;
+  std::map<JobId, Running> jobs_;
+  std::map<std::string, std::unique_ptr<Copies>> functions_;
+  std::deque<JobId> ready_;
+  std::deque<Copies*> load_queue_;
+  std::deque<std::pair<Time, Time>> pushed_;  // work that reached it lately
+  double memory_used_ = 0;
+  int running_ = 0, loading_ = 0;
+  JobId last_ = 0;
+  Time started_ = 0;
+  double slowness_ = 1;
+  bool draining_ = false, fallen_ = false, cold_ = false;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);  // alarms of an earlier life are void
+};
+
+}  // namespace rushhill::standin
--- /dev/null
+++ b/src/standin/roster_board.cpp
@@ -0,0 +1,162 @@
+#include "standin/roster_board.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rushhill::standin {
+namespace {
+
+using Json = nlohmann::json;
+constexpr std::size_t longest_line = 1024 * 1024;  // bytes a caller may send without a line's end
+
+}  // namespace
+
+class RosterBoard::Caller final : public transport::StreamUser {
+ public:
+  Caller(RosterBoard& board, const Poco::Net::StreamSocket& socket) : board_(board) {
+    stream_ = transport::Stream::adopt(board.reactor_, socket, *this);
+  }
+  ~Caller() override { stream_->close(); }
+
+  void arrived(std::string_view bytes) override {
+    in_ += bytes;
+    for (std::size_t end = in_.find('\n'); end != std::string::npos; end = in_.find('\n')) {
+      const Json line = Json::parse(in_.substr(0, end), nullptr, false);
+      in_.erase(0, end + 1);
+      if (!line.is_object()) return leave();
+      if (line.contains("announce")) board_.announce(line["announce"]);
+      if (!line.contains("ask")) continue;
+      router = line.value("router", 0);
+      const std::string ask = line.value("ask", "");
+      if (ask == "rest") follows = false;
+      if (ask == "follow") follows = true;
+      if (ask == "follow" || ask == "reload") board_.tell_complete(*this);
+    }
+    if (in_.size() > longest_line) leave();
+  }
+  void lost(transport::Loss) override { leave(); }
+  void leave() {
+    stream_->close();
+    const auto it = board_.callers_.find(this);
+    if (it == board_.callers_.end()) return;
+    board_.reactor_.soon([gone = it->second] {});
+    board_.callers_.erase(it);
+  }
+  void write(const std::string& line) { stream_->write(line); }
+
+  bool follows = false;
+  int router = 0;
+  Time told_until = 0;  // later words do not overtake earlier ones
+
+ private:
+  RosterBoard& board_;
+  std::shared_ptr<transport::Stream> stream_;
+  std::string in_;
+};
+
+RosterBoard::RosterBoard(transport::Reactor& reactor, const transport::Address& address, const Day& day,
+                         Record& record)
+    : reactor_(reactor), day_(day), record_(record),
+      chance_(static_cast<std::uint_fast32_t>(day.seed % 16'777'211)) {
+  holder_.bind(address, true, true);
+  address_ = holder_.address();
+  listen();
+}
+RosterBoard::~RosterBoard() { break_off(); }
+
+void RosterBoard::listen() {
+  listener_ = std::make_unique<transport::Listener>(
+      reactor_, address_, true, [this](const Poco::Net::StreamSocket& socket) {
+        const auto caller = std::make_shared<Caller>(*this, socket);
+        callers_.emplace(caller.get(), caller);
+      });
+}
+
+void RosterBoard::break_off() {
+  listener_.reset();
+  while (!callers_.empty()) callers_.begin()->first->leave();
+}
+
+void RosterBoard::announce(const Json& entry) {
+  if (!entry.is_object() || !entry.contains("id")) return;
+  Json& known = entries_[entry.value("id", "")];
+  if (known == entry) return;
+  known = entry;
+  ++revision_;
+  tell_change(entry);
+}
+
+void RosterBoard::tell_change(const Json& entry) {
+  for (auto& [caller, held] : callers_) {
+    if (!caller->follows) continue;
+    const double share = static_cast<double>(chance_()) / static_cast<double>(chance_.max());
+    const Time lag =
+        day_.roster_lag_least + more_lag_ +
+        static_cast<Time>(share * static_cast<double>(day_.roster_lag_most - day_.roster_lag_least));
+    const Time when = std::max(reactor_.now() + lag, caller->told_until);
+    caller->told_until = when;
+    const Json word{{"form", "changes"}, {"revision", revision_}, {"servers", Json::array({entry})}};
+    reactor_.at(when, [this, caller = caller, alive = std::weak_ptr(held), word] {
+      if (!alive.expired()) send(*caller, word);
+    });
+  }
+}
+
+void RosterBoard::tell_complete(Caller& caller) {
+  Json servers = Json::array();
+  for (const auto& [id, entry] : entries_) {
+    if (entry.value("condition", "") != "gone") servers.push_back(entry);
+  }
+  send(caller, {{"form", "complete"}, {"revision", revision_}, {"servers", std::move(servers)}});
+}
+
+void RosterBoard::tell_now(const Json& word) {
+  for (auto& [caller, held] : callers_) {
+    if (caller->follows) send(*caller, word);
+  }
+}
+
+// What leaves here is what a router is told, and from when on.
+void RosterBoard::send(Caller& caller, const Json& word) {
+  const std::int64_t now = transport::monotonic_ns();
+  Json conditions = Json::array();
+  for (const Json& entry : word["servers"])
+    conditions.push_back(
+        {entry.value("id", ""), entry.value("condition", "active"), entry.value("started_ms", 0.0)});
+  record_.line({{"what", "told"},
+                {"at", now},
+                {"router", caller.router},
+                {"complete", word.value("form", "") == "complete"},
+                {"servers", std::move(conditions)}});
+  caller.write(word.dump() + "\n");
+}
+
+void RosterBoard::play(Time start) {
+  for (const Trouble& trouble : day_.troubles) {
+    const Time from = start + trouble.at, to = from + trouble.span;
+    if (trouble.kind == TroubleKind::roster_lag) {
+      reactor_.at(from, [this, size = trouble.size] { more_lag_ = static_cast<Time>(size * 10'000); });
+      reactor_.at(to, [this] { more_lag_ = 0; });
+    } else if (trouble.kind == TroubleKind::roster_break) {
+      reactor_.at(from, [this] { break_off(); });
+      reactor_.at(to, [this] { listen(); });
+    } else if (trouble.kind == TroubleKind::roster_twice) {
+      for (const std::string& server : trouble.servers) {
+        reactor_.at(from, [this, server] {
+          const auto it = entries_.find(server);
+          if (it == entries_.end()) return;
+          Json other = it->second;
+          other["condition"] = "draining";
+          tell_now({{"form", "changes"},
+                    {"revision", ++revision_},
+                    {"servers", Json::array({other, it->second})}});
+        });
+        reactor_.at(to, [this, server] {
+          if (const auto it = entries_.find(server); it != entries_.end()) tell_change(it->second);
+        });
+      }
+    }
+  }
+}
+
+}  // namespace rushhill::standin
--- /dev/null
+++ b/src/transport/http.cpp
@@ -0,0 +1,145 @@
+#include "transport/http.h"
+
+#include <algorithm>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+namespace rushhill::transport {
+namespace {
+
+namespace http = boost::beast::http;
+
+const std::string* find(const Headers& headers, std::string_view name) {
+  const auto it = std::ranges::find(headers, name, &std::pair<std::string, std::string>::first);
+  return it == headers.end() ? nullptr : &it->second;
+}
+
+template <typename Parser>
+HttpProgress put_into(Parser& parser, std::string& buffer) {
+  std::size_t used = 0;
+  HttpProgress progress = HttpProgress::more;
+  while (!parser.is_done() && used < buffer.size()) {
+    boost::system::error_code error;
+    const std::size_t taken =
+        parser.put(boost::asio::const_buffer(buffer.data() + used, buffer.size() - used), error);
+    used += taken;
+    if (error == http::error::need_more) break;
+    if (error) {
+      progress = error == http::error::header_limit ? HttpProgress::head_too_large
+                 : error == http::error::body_limit ? HttpProgress::body_too_large
+                                                    : HttpProgress::bad;
+      break;
+    }
+    if (taken == 0) break;
+  }
+  buffer.erase(0, used);
+  return parser.is_done() ? HttpProgress::done : progress;
+}
+
+template <typename Fields>
+Headers lowered(const Fields& fields) {
+  Headers headers;
+  for (const auto& field : fields) {
+    std::string name(field.name_string());
+    std::ranges::transform(name, name.begin(),
+                           [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; });
+    headers.emplace_back(std::move(name), std::string(field.value()));
+  }
+  return headers;
+}
+
+template <bool is_request>
+std::string serialized(http::message<is_request, http::string_body>& message) {
+  message.prepare_payload();
+  http::serializer<is_request, http::string_body> serializer(message);
+  std::string bytes;
+  boost::system::error_code error;
+  while (!serializer.is_done()) {
+    serializer.next(error, [&](boost::system::error_code&, const auto& buffers) {
+      std::size_t size = 0;
+      for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+        bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+        size += buffer.size();
+      }
+      serializer.consume(size);
+    });
+    if (error) break;
+  }
+  return bytes;
+}
+
+}  // namespace
+
+const std::string* HttpRequest::header(std::string_view name) const { return find(headers, name); }
+const std::string* HttpResponse::header(std::string_view name) const { return find(headers, name); }
+
+struct HttpRequestReader::Parser : http::request_parser<http::string_body> {};
+struct HttpResponseReader::Parser : http::response_parser<http::string_body> {};
+
+template <typename Parser>
+std::unique_ptr<Parser> fresh(const HttpBounds& bounds) {
+  auto parser = std::make_unique<Parser>();
+  parser->eager(true);
+  parser->header_limit(bounds.head);
+  parser->body_limit(bounds.body);
+  return parser;
+}
+
+HttpRequestReader::HttpRequestReader(HttpBounds bounds) : bounds_(bounds), parser_(fresh<Parser>(bounds)) {}
+HttpRequestReader::~HttpRequestReader() = default;
+HttpProgress HttpRequestReader::put(std::string& buffer) { return put_into(*parser_, buffer); }
+bool HttpRequestReader::head_done() const { return parser_->is_header_done(); }
+bool HttpRequestReader::wants_continue() const {
+  return parser_->is_header_done() && !parser_->is_done() && parser_->get().body().empty() &&
+         boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
+}
+HttpRequest HttpRequestReader::take() {
+  auto message = std::exchange(parser_, fresh<Parser>(bounds_))->release();
+  return {std::string(message.method_string()), std::string(message.target()), lowered(message.base()),
+          std::move(message.body()), message.keep_alive()};
+}
+
+HttpResponseReader::HttpResponseReader(HttpBounds bounds) : bounds_(bounds), parser_(fresh<Parser>(bounds)) {}
+HttpResponseReader::~HttpResponseReader() = default;
+HttpProgress HttpResponseReader::put(std::string& buffer) { return put_into(*parser_, buffer); }
+HttpProgress HttpResponseReader::end() {
+  boost::system::error_code error;
+  if (parser_->is_header_done() && !parser_->is_done()) parser_->put_eof(error);
+  return !error && parser_->is_done() ? HttpProgress::done : HttpProgress::bad;
+}
+HttpResponse HttpResponseReader::take() {
+  auto message = std::exchange(parser_, fresh<Parser>(bounds_))->release();
+  return {static_cast<int>(message.result_int()), lowered(message.base()), std::move(message.body()),
+          message.keep_alive()};
+}
+
+std::string to_bytes(const HttpRequest& request) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(11);
+  for (const auto& [name, value] : request.headers) message.insert(name, value);
+  message.body() = request.body;
+  message.keep_alive(request.keep_alive);
+  return serialized(message);
+}
+
+std::string to_bytes(const HttpResponse& response) {
+  http::response<http::string_body> message;
+  message.result(static_cast<unsigned>(response.status));
+  message.version(11);
+  for (const auto& [name, value] : response.headers) message.insert(name, value);
+  message.body() = response.body;
+  message.keep_alive(response.keep_alive);
+  return serialized(message);
+}
+
+std::string_view reason_of(int status) {
+  const auto reason = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+  return {reason.data(), reason.size()};
+}
+
+}  // namespace rushhill::transport
--- /dev/null
+++ b/src/transport/peer_links.h
@@ -0,0 +1,34 @@
+// Short messages between routers as datagrams on loopback: bounded, and dropped rather than kept waiting.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ports.h"
+#include "transport/reactor.h"
+
+namespace rushhill::transport {
+
+class PeerLinks final : public core::Peers {
+ public:
+  using Heard = std::function<void(int router, const std::string& bytes)>;
+  // `addresses` by router number; an empty one is a router that cannot be told.
+  PeerLinks(Reactor& reactor, const std::string& listen, int me, const std::vector<std::string>& addresses,
+            Heard heard);
+  void tell(int router, const std::string& bytes) override;
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  void hear(const Address& from, std::string_view bytes);
+
+  int me_;
+  std::vector<std::optional<Address>> addresses_;
+  Heard heard_;
+  Datagrams datagrams_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace rushhill::transport
--- /dev/null
+++ b/src/transport/server_pool.h
@@ -0,0 +1,74 @@
+// The way to the model servers over HTTP/1.1: a pool of connections for each server, one exchange at a time
+// on a connection. docs/servers.md is the contract. Every exchange ends once, with what is known of it.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/ports.h"
+#include "transport/http.h"
+#include "transport/reactor.h"
+
+namespace rushhill::transport {
+
+struct PoolBounds {
+  int router = 0;           // told to servers, so that records can name the sender
+  int connections = 256;    // to one server
+  Time connect_limit = 0;   // tenths of a millisecond
+  Time idle = 0;            // likewise
+  std::uint64_t reply = 0;  // bytes
+};
+
+// The load report in an ORCA header, TEXT or JSON form, by the module's names; what is not understood is
+// left.
+LoadReport load_report(std::string_view header);
+// A function's name as one segment of a path.
+std::string path_segment(std::string_view text);
+// What a server's answer to a shot says.
+core::ShotResult shot_result(HttpResponse response);
+
+class ServerPool final : public core::Carrier {
+ public:
+  ServerPool(Reactor& reactor, const PoolBounds& bounds, core::Diary& diary);
+  ~ServerPool() override;
+  void report_to(core::Carried& carried) { carried_ = &carried; }
+
+  void shoot(const core::ShotCall& call) override;
+  void drop(EventId event, int leg) override;
+  void probe(const ServerId& server, Time limit) override;
+  void order(const ServerId& server, const FunctionId& function, int copies, Time limit) override;
+  void unload(const ServerId& server, const FunctionId& function) override;
+  void close_idle(const ServerId& server) override;
+  void reach(const ServerId& server, const std::string& address) override;
+
+  std::size_t connections() const;
+
+ private:
+  class Link;
+  struct Exchange;
+  struct Server {
+    ServerId id;
+    std::string address_text;
+    std::unique_ptr<Address> address;
+    std::map<Link*, std::shared_ptr<Link>> links;
+    std::vector<Link*> idle;  // the last used at the back
+  };
+
+  void start(const ServerId& server, Exchange exchange);
+  void end(Exchange& exchange, HttpResponse* response, Ending otherwise);
+  void forget(Link& link);
+  void drop_if_unused(const ServerId& id);
+  static std::shared_ptr<Link> hold(Link& link);
+
+  Reactor& reactor_;
+  PoolBounds bounds_;
+  core::Diary& diary_;
+  core::Carried* carried_ = nullptr;
+  std::map<ServerId, std::unique_ptr<Server>> servers_;
+  std::map<std::pair<EventId, int>, Link*> shots_;
+};
+
+}  // namespace rushhill::transport
