--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -148,6 +148,9 @@
   on_badday->add_option("--day", bad_day.day_file, "play this day instead");
   on_badday->add_option("--keep", bad_day.folder, "keep the records and logs in this folder");
   on_badday->add_flag("--json", bad_day.json, "print the tally as JSON");
+  on_badday->add_flag("--servers-load", bad_day.loads_by_themselves,
+                      "servers load what they lack by themselves instead of answering that they lack it");
+  on_badday->add_flag("--calm", bad_day.calm, "longer limits and ticks, for slow machines");
   auto* on_judge = app.add_subcommand("judge", "judge the records of a day once more");
   on_judge->add_option("folder", bad_day.folder, "the folder that badday --keep left")->required();
   on_judge->add_flag("--json", bad_day.json, "print the tally as JSON");
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -46,6 +46,13 @@
   module_ns_ += to_.clock.nanoseconds() - began;
 }
 
+// What is put off is void when the gateway is gone.
+void Gateway::soon(Clockwork::Call call) {
+  to_.clock.soon([call = std::move(call), alive = std::weak_ptr(life_)] {
+    if (!alive.expired()) call();
+  });
+}
+
 std::optional<EventId> Gateway::take(Client& client, Event told, events::CloudEvent message) {
   if (deployment_.open_cap > 0 && unanswered_ >= static_cast<std::size_t>(deployment_.open_cap)) {
     ++tally_.refused;
@@ -79,7 +86,7 @@
 void Gateway::conclude(EventId event, Open& open, const char* outcome) {
   --unanswered_;
   open.concluded = true;
-  to_.clock.soon([this, event] { drop_if_over(event); });
+  soon([this, event] { drop_if_over(event); });
   if (!to_.diary.wants(Level::debug)) return;
   to_.diary.line(Level::debug, "final answer",
                  {{"outcome", outcome},
@@ -122,7 +129,7 @@
   to_.clock.withdraw(given_up.time_out);
   to_.carrier.drop(event, leg);
   ++open.owed;
-  to_.clock.soon([this, event, leg, ending] {
+  soon([this, event, leg, ending] {
     --open_.at(event).owed;
     tell_end(event, leg, {.ending = ending});
   });
@@ -224,7 +231,7 @@
   if (open.concluded || now >= open.limit || leg >= deployment_.shot_cap) {
     open.legs.back().open = false;
     ++open.owed;
-    to_.clock.soon([this, event, leg] {
+    soon([this, event, leg] {
       --open_.at(event).owed;
       tell_end(event, leg, {.ending = Ending::not_sent});
     });
@@ -264,7 +271,7 @@
 
 void Gateway::hand_over(EventId event, std::function<void(Client&)> answer) {
   ++open_.at(event).owed;
-  to_.clock.soon([this, event, answer = std::move(answer)] {
+  soon([this, event, answer = std::move(answer)] {
     Open& open = open_.at(event);
     --open.owed;
     if (open.client != nullptr) answer(*std::exchange(open.client, nullptr));
@@ -273,8 +280,9 @@
 }
 
 void Gateway::wake(std::int64_t token, Time at) {
-  to_.clock.at(at,
-               [this, token] { decide([token](Router& router, Time now) { router.woken(now, token); }); });
+  to_.clock.at(at, [this, token, alive = std::weak_ptr(life_)] {
+    if (!alive.expired()) decide([token](Router& router, Time now) { router.woken(now, token); });
+  });
 }
 
 void Gateway::probe(const ServerId& server) {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -83,6 +84,7 @@
   void reload() override;
   void log(const std::string& line) override;
 
+  void soon(Clockwork::Call call);
   void conclude(EventId event, Open& open, const char* outcome);
   void hand_over(EventId event, std::function<void(Client&)> answer);
   void expire(EventId event);
@@ -103,6 +105,7 @@
   std::size_t unanswered_ = 0;
   std::int64_t module_ns_ = 0;
   Tally tally_;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
 };
 
 }  // namespace rushhill::core
--- a/src/deployment/deployment_file.cpp
+++ b/src/deployment/deployment_file.cpp
@@ -74,9 +74,9 @@
   static const std::vector<std::pair<std::string, std::int64_t>> units{
       {"KiB", 1024}, {"MiB", 1024 * 1024}, {"B", 1}};
   for (const auto& [unit, size] : units) {
-    if (text.ends_with(unit))
-      return static_cast<std::uint64_t>(
-          whole_in(text.substr(0, text.size() - unit.size()), 1, (1LL << 30) / size) * size);
+    const std::string digits = text.substr(0, text.ends_with(unit) ? text.size() - unit.size() : 0);
+    if (!digits.empty() && digits.find_first_not_of("0123456789") == std::string::npos)
+      return static_cast<std::uint64_t>(whole_in(digits, 1, (1LL << 30) / size) * size);
   }
   throw Fault("'" + text + "' is not a size with its unit, as 64KiB or 1MiB");
 }
--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -56,19 +56,19 @@
 class HttpFront::Connection final : public transport::StreamUser, public core::Client {
  public:
   Connection(HttpFront& front, const Poco::Net::StreamSocket& socket)
-      : front_(front), reader_({.body = front.rules_.body}) {
-    stream_ = transport::Stream::adopt(front.reactor_, socket, *this);
+      : front_(front), reactor_(front.reactor_), reader_({.body = front.rules_.body}) {
+    stream_ = transport::Stream::adopt(reactor_, socket, *this);
     set_alarm(front.rules_.idle);
   }
   ~Connection() override {
-    front_.reactor_.withdraw(alarm_);
+    reactor_.withdraw(alarm_);
     stream_->close();
   }
 
   // The client is no longer there: its open events are told so.
   void leave() {
     closing_ = true;
-    front_.reactor_.withdraw(alarm_);
+    reactor_.withdraw(alarm_);
     stream_->close();
     for (const auto& [event, row] : std::exchange(places_, {})) front_.gateway_.client_gone(event);
   }
@@ -111,8 +111,8 @@
 
  private:
   void set_alarm(Time span) {
-    front_.reactor_.withdraw(alarm_);
-    alarm_ = front_.reactor_.at(front_.reactor_.now() + span, [this] { overdue(); });
+    reactor_.withdraw(alarm_);
+    alarm_ = reactor_.at(reactor_.now() + span, [this] { overdue(); });
   }
 
   void overdue() {
@@ -140,7 +140,7 @@
       case HttpProgress::done:
         break;
     }
-    front_.reactor_.withdraw(alarm_);
+    reactor_.withdraw(alarm_);
     begun_ = told_to_continue_ = false;
     answering_ = true;
     const HttpRequest request = reader_.take();
@@ -264,7 +264,7 @@
     stream_->read(true);
     set_alarm(front_.rules_.idle);
     if (in_.empty()) return;
-    front_.reactor_.soon([this, alive = std::weak_ptr(life_)] {
+    reactor_.soon([this, alive = std::weak_ptr(life_)] {
       if (!alive.expired()) proceed();
     });
   }
@@ -278,6 +278,7 @@
   }
 
   HttpFront& front_;
+  transport::Reactor& reactor_;  // also when the front is gone
   std::shared_ptr<transport::Stream> stream_;
   transport::HttpRequestReader reader_;
   std::string in_;
--- a/src/lab/badday.h
+++ b/src/lab/badday.h
@@ -12,7 +12,7 @@
   double rate = 300;
   std::uint64_t seed = 1;
   std::string day_file{}, folder{};
-  bool json = false;
+  bool json = false, loads_by_themselves = false, calm = false;
 };
 
 // 0: every event ended once and in time and no rule was broken; 1: not; throws where a process fails.
--- /dev/null
+++ b/src/router/router_process.cpp
@@ -0,0 +1,152 @@
+#include "router/router_process.h"
+
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace rushhill::router {
+namespace {
+
+using core::Level;
+
+constexpr Time look_every = 100;  // tenths of a millisecond between looks whether all is wound up
+
+class NoPeers final : public core::Peers {
+ public:
+  void tell(int, const std::string&) override {}
+} no_peers;
+class NoRoster final : public core::RosterSource {
+ public:
+  void follow(bool) override {}
+  void reload() override {}
+} no_roster;
+
+// The last list as it was remembered, read before anything is served; a broken file is told and left alone.
+membership::RosterWord recall(const std::string& path, core::Diary& diary) {
+  std::ifstream in(path);
+  std::string line;
+  if (path.empty() || !std::getline(in, line)) return {.form = RosterForm::remembered};
+  try {
+    membership::RosterWord word = membership::read_word(line, membership::wall_offset_now());
+    word.form = RosterForm::remembered;
+    return word;
+  } catch (const std::invalid_argument& wrong) {
+    diary.line(Level::warning, "remembered roster cannot be read",
+               {{"file", path}, {"reason", wrong.what()}});
+    return {.form = RosterForm::remembered};
+  }
+}
+
+double seconds(const timeval& of) {
+  return static_cast<double>(of.tv_sec) + static_cast<double>(of.tv_usec) / 1e6;
+}
+
+}  // namespace
+
+RouterProcess::RouterProcess(transport::Reactor& reactor, const deployment::Program& program,
+                             std::uint64_t seed, core::Diary& diary)
+    : reactor_(reactor), program_(program), diary_(diary),
+      pool_(reactor,
+            {.router = program.module.me,
+             .connections = program.links.connections,
+             .connect_limit = program.module.connect_limit,
+             .idle = program.module.connection_idle,
+             .reply = program.links.reply},
+            diary),
+      peers_(!program.module.peers
+                 ? nullptr
+                 : std::make_unique<transport::PeerLinks>(
+                       reactor, program.peers.listen, program.module.me, program.peers.addresses,
+                       [this](int router, const std::string& bytes) { gateway_.peer_told(router, bytes); })),
+      roster_(program.roster.address.empty()
+                  ? nullptr
+                  : std::make_unique<membership::RosterClient>(
+                        reactor, transport::numeric_address(program.roster.address), program.module.me,
+                        program.roster.retry, seed, diary,
+                        [this](RosterForm form, const std::vector<core::RosterEntry>& entries) {
+                          gateway_.roster(form, entries);
+                          if (form != RosterForm::failed) front_.ready(true);
+                        })),
+      gateway_(program.module, seed,
+               {.clock = reactor,
+                .carrier = pool_,
+                .peers = peers_ ? static_cast<core::Peers&>(*peers_) : no_peers,
+                .roster = roster_ ? static_cast<core::RosterSource&>(*roster_) : no_roster,
+                .diary = diary}),
+      intake_(program.module, program.type_of_event),
+      front_(reactor, gateway_, intake_, diary,
+             {.connections = program.http.connections,
+              .body = program.http.body,
+              .batch = program.http.batch,
+              .request_within = program.http.head_within,
+              .idle = program.http.idle,
+              .come_back = program.module.retry_advice ? program.module.longest_retry_advice : 0}) {
+  pool_.report_to(gateway_);
+  const membership::RosterWord recalled = recall(program.roster.remembered, diary);
+  gateway_.roster(recalled.form, recalled.entries);
+  if (roster_ && !program.module.roster_on_request) roster_->follow(true);
+  const std::string& where = program.http.listen;
+  address_ = where.starts_with("fd:") ? front_.listen_inherited(std::stoi(where.substr(3)))
+                                      : front_.listen(transport::numeric_address(where), true);
+  diary.line(Level::info, "serving", {{"address", address_.toString()}, {"seed", std::to_string(seed)}});
+}
+
+RouterProcess::~RouterProcess() { remember(); }
+
+void RouterProcess::remember() const {
+  const std::string& path = program_.roster.remembered;
+  if (path.empty() || !roster_ || !roster_->heard_any()) return;
+  membership::RosterWord word = roster_->remembered().whole();
+  word.form = RosterForm::complete;
+  const std::string part = path + ".part";
+  std::ofstream(part) << membership::write_word(word, roster_->wall_offset()) << '\n';
+  if (std::rename(part.c_str(), path.c_str()) != 0)
+    diary_.line(Level::warning, "roster cannot be remembered", {{"file", path}});
+}
+
+void RouterProcess::wind_up(std::function<void()> ended) {
+  if (winding_up()) return;
+  end_by_ = reactor_.now() + std::max<Time>(program_.http.wind_up, 1);
+  diary_.line(Level::info, "winding up", {{"open", std::to_string(gateway_.open())}});
+  front_.wind_up();
+  wait_for_end(ended);
+}
+
+void RouterProcess::wait_for_end(const std::function<void()>& ended) {
+  const bool done = gateway_.open() == 0 && front_.connections() == 0;
+  if (done || reactor_.now() >= end_by_) return ended();
+  reactor_.at(reactor_.now() + look_every, [this, ended, alive = std::weak_ptr(life_)] {
+    if (!alive.expired()) wait_for_end(ended);
+  });
+}
+
+std::string RouterProcess::tally() const {
+  const core::Tally& tally = gateway_.tally();
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  return nlohmann::json{{"router", program_.module.me},
+                        {"taken", tally.taken},
+                        {"honoured", tally.honoured},
+                        {"shed", tally.shed},
+                        {"abandoned", tally.abandoned},
+                        {"gone", tally.gone},
+                        {"refused", tally.refused},
+                        {"overdue", tally.overdue},
+                        {"shots", tally.shots},
+                        {"probes", tally.probes},
+                        {"orders", tally.orders},
+                        {"told", tally.told},
+                        {"endings", tally.endings},
+                        {"open", gateway_.open()},
+                        {"module_seconds", static_cast<double>(gateway_.module_ns()) / 1e9},
+                        {"cpu_seconds", seconds(used.ru_utime) + seconds(used.ru_stime)},
+                        {"peak_memory_kib", used.ru_maxrss}}
+      .dump();
+}
+
+}  // namespace rushhill::router
--- /dev/null
+++ b/src/router/router_process.h
@@ -0,0 +1,57 @@
+// One router put together: pool, peers, roster, core and front on one reactor. What `rushhill serve` runs,
+// and the end-to-end tests.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "core/gateway.h"
+#include "core/intake.h"
+#include "deployment/deployment_file.h"
+#include "fronts/http_front.h"
+#include "membership/roster_client.h"
+#include "transport/peer_links.h"
+#include "transport/reactor.h"
+#include "transport/server_pool.h"
+
+namespace rushhill::router {
+
+class RouterProcess {
+ public:
+  // Listens at once; throws where an address cannot be had.
+  RouterProcess(transport::Reactor& reactor, const deployment::Program& program, std::uint64_t seed,
+                core::Diary& diary);
+  ~RouterProcess();
+  RouterProcess(const RouterProcess&) = delete;
+  RouterProcess& operator=(const RouterProcess&) = delete;
+
+  transport::Address address() const { return address_; }
+  core::Gateway& gateway() { return gateway_; }
+  transport::ServerPool& pool() { return pool_; }
+
+  // Takes nothing more and calls `ended` once nothing is open, or when the told time is up.
+  void wind_up(std::function<void()> ended);
+  bool winding_up() const { return end_by_ != 0; }
+  // The counts as one line of JSON.
+  std::string tally() const;
+
+ private:
+  void remember() const;
+  void wait_for_end(const std::function<void()>& ended);
+
+  transport::Reactor& reactor_;
+  const deployment::Program program_;
+  core::Diary& diary_;
+  transport::ServerPool pool_;
+  std::unique_ptr<transport::PeerLinks> peers_;
+  std::unique_ptr<membership::RosterClient> roster_;
+  core::Gateway gateway_;
+  core::Intake intake_;
+  fronts::HttpFront front_;
+  transport::Address address_;
+  Time end_by_ = 0;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+};
+
+}  // namespace rushhill::router
--- a/src/standin/machine.h
+++ b/src/standin/machine.h
@@ -112,6 +112,7 @@
   void tell_holds(Copies& copies, Fate failed);
   void expire_idle(Copies& copies);
   bool push(Time now, Time work);
+  void fall();
   void at(Time when, std::function<void()> call);
 
   MachineMake make_;
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -18,7 +18,7 @@
 }
 
 template <typename Parser>
-HttpProgress put_into(Parser& parser, std::string& buffer) {
+HttpProgress put_into(Parser& parser, std::string& buffer, std::uint64_t most) {
   std::size_t used = 0;
   HttpProgress progress = HttpProgress::more;
   while (!parser.is_done() && used < buffer.size()) {
@@ -36,6 +36,10 @@
     if (taken == 0) break;
   }
   buffer.erase(0, used);
+  // Beast 1.74 passes over its own limit where a response's head and body come in one piece.
+  const bool long_body = parser.is_header_done() && parser.content_length().value_or(0) > most;
+  if (progress == HttpProgress::more && (long_body || parser.get().body().size() > most))
+    return HttpProgress::body_too_large;
   return parser.is_done() ? HttpProgress::done : progress;
 }
 
@@ -90,7 +94,7 @@
 
 HttpRequestReader::HttpRequestReader(HttpBounds bounds) : bounds_(bounds), parser_(fresh<Parser>(bounds)) {}
 HttpRequestReader::~HttpRequestReader() = default;
-HttpProgress HttpRequestReader::put(std::string& buffer) { return put_into(*parser_, buffer); }
+HttpProgress HttpRequestReader::put(std::string& buffer) { return put_into(*parser_, buffer, bounds_.body); }
 bool HttpRequestReader::head_done() const { return parser_->is_header_done(); }
 bool HttpRequestReader::wants_continue() const {
   return parser_->is_header_done() && !parser_->is_done() && parser_->get().body().empty() &&
@@ -104,7 +108,7 @@
 
 HttpResponseReader::HttpResponseReader(HttpBounds bounds) : bounds_(bounds), parser_(fresh<Parser>(bounds)) {}
 HttpResponseReader::~HttpResponseReader() = default;
-HttpProgress HttpResponseReader::put(std::string& buffer) { return put_into(*parser_, buffer); }
+HttpProgress HttpResponseReader::put(std::string& buffer) { return put_into(*parser_, buffer, bounds_.body); }
 HttpProgress HttpResponseReader::end() {
   boost::system::error_code error;
   if (parser_->is_header_done() && !parser_->is_done()) parser_->put_eof(error);
--- a/src/transport/reactor.cpp
+++ b/src/transport/reactor.cpp
@@ -97,6 +97,11 @@
   turn();
   SocketReactor::run();
 }
+void Reactor::forget_all() {
+  alarms_ = {};
+  soon_.clear();
+  every_turn_ = nullptr;
+}
 void Reactor::halt() { SocketReactor::stop(); }
 
 Time Reactor::now() const { return monotonic_ns() / 100'000; }
--- a/src/transport/reactor.h
+++ b/src/transport/reactor.h
@@ -41,6 +41,9 @@
   void soon(Call call) override;
   std::int64_t nanoseconds() const override { return monotonic_ns(); }
 
+  // Drops every alarm and put-off call: for the end, when those that set them are gone.
+  void forget_all();
+
   // Asked every time the loop turns; for what a signal's handler has noted.
   void every_turn(Call call) { every_turn_ = std::move(call); }
 
--- a/src/transport/server_pool.h
+++ b/src/transport/server_pool.h
@@ -69,6 +69,7 @@
   core::Carried* carried_ = nullptr;
   std::map<ServerId, std::unique_ptr<Server>> servers_;
   std::map<std::pair<EventId, int>, Link*> shots_;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);  // what was put off is void when the pool is gone
 };
 
 }  // namespace rushhill::transport
--- /dev/null
+++ b/tests/checker/judge_test.cpp
@@ -0,0 +1,222 @@
+// Doctored records: a good day passes, and each planted break is found under its own rule.
+#include "checker/judge.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace rushhill::checker {
+namespace {
+
+using Json = nlohmann::json;
+constexpr std::int64_t ms = 1'000'000;
+
+class Records : public testing::Test {
+ protected:
+  Records() {
+    day = Json::parse(R"({"events":1,
+      "rules":{"drain-grace":20000,"fall-multiple":2,"fall-span":15000,"cold-share":0.16,"cold-span":160000,
+               "load-window":50000,"load-free":2,"loads-per-event":0,"shots":3,"second-copies":false},
+      "types":[{"name":"lookup","effect":"reissuable","group":"all","due":7500,"memory-span":0},
+               {"name":"form","effect":"numbered","group":"location","due":7500,"memory-span":10000},
+               {"name":"booking","effect":"at-most-once","group":"all","due":7500,"memory-span":0}],
+      "servers":[{"id":"a","location":"here","cell":1},{"id":"b","location":"here","cell":1},
+                 {"id":"c","location":"there","cell":2}]})");
+  }
+  void event(const std::string& type, const std::string& outcome = "honoured", std::int64_t ended = 100,
+             const std::string& id = "e") {
+    all.push_back({{"what", "event"},
+                   {"id", id},
+                   {"type", type},
+                   {"sent", 0},
+                   {"ended", ended * ms},
+                   {"limit_ms", 2500},
+                   {"outcome", outcome},
+                   {"tries", Json::array({{{"router", 0}, {"sent", 0}, {"how", "answered"}}})}});
+  }
+  void shot(const std::string& server, std::int64_t at, std::int64_t ended, const std::string& how,
+            const std::string& id = "e", double work = 200) {
+    all.push_back({{"what", "shot"},
+                   {"id", id},
+                   {"server", server},
+                   {"router", 0},
+                   {"shot", 0},
+                   {"at", at * ms},
+                   {"ended", ended * ms},
+                   {"how", how},
+                   {"work", work}});
+  }
+  void ran(const std::string& server) { all.push_back({{"what", "ran"}, {"id", "e"}, {"server", server}}); }
+  void told(std::int64_t at, const std::string& server, const std::string& condition) {
+    all.push_back({{"what", "told"},
+                   {"at", at * ms},
+                   {"router", 0},
+                   {"complete", false},
+                   {"servers", Json::array({Json::array({server, condition, 0})})}});
+  }
+  void order(std::int64_t at, const std::string& server) {
+    all.push_back({{"what", "order"}, {"at", at * ms}, {"server", server}, {"router", 0}, {"copies", 1}});
+  }
+  // The rules broken, by their numbers.
+  std::string broken() {
+    std::string numbers;
+    for (const auto& [name, rule] : judge(day, all).rules)
+      numbers += rule.breaks > 0 ? name.substr(0, 1) : "";
+    return numbers;
+  }
+  Json day;
+  std::vector<Json> all;
+};
+
+TEST_F(Records, AGoodDayPasses) {
+  event("lookup");
+  shot("a", 1, 50, "closed-by-router");
+  shot("b", 51, 90, "answered");
+  EXPECT_EQ(broken(), "");
+  EXPECT_TRUE(judge(day, all).good());
+}
+
+TEST_F(Records, AnEventWithoutAnAnswerOrWithTwoBreaksRuleOne) {
+  EXPECT_EQ(broken(), "1");  // one was sent, none ended
+  event("lookup", "none");
+  EXPECT_EQ(broken(), "1");
+  all.clear();
+  event("lookup");
+  event("lookup");
+  EXPECT_EQ(broken(), "1");
+}
+
+TEST_F(Records, AnAnswerAfterTheClientsTimeBreaksRuleOne) {
+  event("lookup", "shed", 2501);
+  EXPECT_EQ(broken(), "1");
+}
+
+TEST_F(Records, BytesAfterTheAnswerBreakRuleOne) {
+  event("lookup");
+  all.push_back({{"what", "extra"}, {"id", "e"}});
+  EXPECT_EQ(broken(), "1");
+}
+
+TEST_F(Records, AShotAfterTheAnswerBreaksRuleOne) {
+  event("lookup");
+  shot("a", 200, 250, "answered");
+  EXPECT_EQ(broken(), "1");
+}
+
+TEST_F(Records, AnAtMostOnceEventThatRanTwiceBreaksRuleTwo) {
+  event("booking");
+  ran("a");
+  ran("b");
+  EXPECT_EQ(broken(), "2");
+}
+
+TEST_F(Records, AnAtMostOnceEventShotAgainAfterDoubtBreaksRuleTwo) {
+  event("booking");
+  shot("a", 1, 10, "never-ran");
+  shot("b", 11, 50, "answered");
+  EXPECT_EQ(broken(), "");
+  all[1]["how"] = "error";
+  EXPECT_EQ(broken(), "2");
+}
+
+TEST_F(Records, AShedThatIsNoTruePromiseBreaksRuleTwo) {
+  event("booking", "shed");
+  shot("a", 1, 10, "never-ran");
+  EXPECT_EQ(broken(), "");
+  shot("b", 11, 50, "closed-by-router");
+  all.back()["how"] = "reset";
+  EXPECT_EQ(broken(), "2");
+}
+
+TEST_F(Records, ANumberedEventOutsideItsGroupOrItsMemoryBreaksRuleTwo) {
+  event("form", "abandoned", 2400);
+  shot("a", 1, 100, "reset");
+  shot("b", 101, 200, "reset");
+  EXPECT_EQ(broken(), "");
+  shot("c", 201, 300, "reset");
+  EXPECT_EQ(broken(), "2");
+  all.pop_back();
+  shot("b", 1200, 1300, "reset");
+  EXPECT_EQ(broken(), "2");
+}
+
+TEST_F(Records, TwoShotsAtOnceBreakRuleTwo) {
+  event("lookup");
+  shot("a", 1, 90, "closed-by-router");
+  shot("b", 50, 90, "answered");
+  EXPECT_EQ(broken(), "2");
+  day["rules"]["second-copies"] = true;
+  EXPECT_EQ(broken(), "");
+}
+
+TEST_F(Records, MoreShotsThanPermittedBreakRuleTwo) {
+  event("lookup");
+  for (int i = 0; i < 4; ++i) shot("a", 1 + 10 * i, 10 + 10 * i, "never-ran");
+  EXPECT_EQ(broken(), "2");
+}
+
+TEST_F(Records, AShotOrAnOrderToADrainingServerPastTheGraceBreaksRuleThree) {
+  event("lookup", "honoured", 2400);
+  told(0, "a", "draining");
+  shot("a", 1990, 2100, "answered");
+  EXPECT_EQ(broken(), "");
+  shot("a", 2200, 2300, "never-ran");
+  EXPECT_EQ(broken(), "3");
+  all.pop_back();
+  order(2200, "a");
+  EXPECT_EQ(broken(), "3");
+  told(2150, "a", "active");  // it is back
+  EXPECT_EQ(broken(), "");
+}
+
+TEST_F(Records, TheFirstWordOfDepartureCountsAndNotTheLast) {
+  event("lookup", "honoured", 2400);
+  told(0, "a", "draining");
+  told(1500, "a", "gone");
+  shot("a", 2200, 2300, "answered");
+  EXPECT_EQ(broken(), "3");
+}
+
+TEST_F(Records, AServerMissingFromACompleteListIsGone) {
+  event("lookup", "honoured", 2400);
+  told(0, "a", "active");
+  all.push_back(
+      {{"what", "told"}, {"at", 10 * ms}, {"router", 0}, {"complete", true}, {"servers", Json::array()}});
+  shot("a", 2200, 2300, "answered");
+  EXPECT_EQ(broken(), "3");
+}
+
+TEST_F(Records, AColdServerPushedOverByThoseWhoKnewBreaksRuleFour) {
+  event("lookup", "honoured", 2400);
+  all.push_back(
+      {{"what", "started"}, {"server", "a"}, {"at", 0}, {"cold", true}, {"cores", 1}, {"speed", 1}});
+  told(1, "a", "active");
+  // A core's 0.16 for 1.5 s is 2400 tenths, twice that 4800.
+  shot("a", 10, 20, "answered", "e", 4000);
+  EXPECT_EQ(broken(), "");
+  shot("a", 30, 40, "answered", "e", 1500);
+  EXPECT_EQ(broken(), "4");
+  all.push_back({{"what", "fell"}, {"server", "a"}, {"at", 40 * ms}});
+  EXPECT_EQ(judge(day, all).rules.at("4 cold servers not pushed over").breaks, 2);
+}
+
+TEST_F(Records, OrdersBeyondTheRationBreakRuleFive) {
+  event("lookup", "honoured", 2400);
+  order(100, "a");
+  order(200, "b");
+  EXPECT_EQ(broken(), "");
+  order(300, "c");
+  EXPECT_EQ(broken(), "5");
+  day["rules"]["loads-per-event"] = 1;  // the event itself permits one more
+  EXPECT_EQ(broken(), "");
+}
+
+TEST_F(Records, ARecordThatCannotBeReadIsNamed) {
+  std::istringstream in("{}\nnonsense\n");
+  EXPECT_THROW(read_records(in, "clients"), std::invalid_argument);
+  all.push_back({{"what", "event"}});
+  EXPECT_THROW(judge(day, all), std::invalid_argument);
+}
+
+}  // namespace
+}  // namespace rushhill::checker
--- /dev/null
+++ b/tests/fronts/http_front_test.cpp
@@ -0,0 +1,245 @@
+// The HTTP front as clients meet it, byte by byte, before a router with one raw server behind it.
+#include "loopback.h"
+#include "router/router_process.h"
+#include "transport/http.h"
+
+namespace rushhill {
+namespace {
+
+constexpr const char* deployment_text = R"([router]
+tick = 50ms
+[permissions]
+open = 3
+[http]
+listen = 127.0.0.1:0
+body = 1KiB
+batch = 3
+request-within = 300ms
+idle = 30s
+[traffic lookup]
+event-type = org.lookup
+due = 5s
+hard-limit = 10s
+effect = reissuable
+[traffic booking]
+due = 5s
+hard-limit = 10s
+)";
+
+const std::string head =
+    "POST / HTTP/1.1\r\nhost: x\r\nce-specversion: 1.0\r\nce-source: /c\r\nce-type: "
+    "org.lookup\r\nce-function: f\r\n";
+std::string request(const std::string& id, const std::string& more = "content-length: 0\r\n\r\n") {
+  return head + "ce-id: " + id + "\r\n" + more;
+}
+
+class FrontStory : public testing::Test {
+ protected:
+  FrontStory() {
+    server.on_bytes = [this](RawPeer& peer) {
+      if (peer.seen.find("\r\n\r\n") == std::string::npos) return;
+      const auto at = peer.seen.find("ce-id: ") + 7;
+      shot.push_back(peer.seen.substr(at, peer.seen.find("\r\n", at) - at));
+      const std::string data = "\"" + shot.back() + "\"";
+      peer.seen.clear();
+      if (!answering) return;
+      peer.stream->write(
+          "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r\r\nce-source: /s\r\nce-type: t\r\n"
+          "content-type: application/json\r\ncontent-length: " +
+          std::to_string(data.size()) + "\r\n\r\n" + data);
+    };
+    router.gateway().roster(RosterForm::complete, {{{.id = "s"}, server.address()}});
+  }
+  RawPeer& connect() {
+    clients.push_back(std::make_unique<RawPeer>(reactor, router.address()));
+    return *clients.back();
+  }
+  // Sends bytes on a connection of their own and waits for so many answers.
+  std::string say(const std::string& bytes, std::size_t answers = 1) {
+    RawPeer& client = connect();
+    client.stream->write(bytes);
+    EXPECT_TRUE(pump.until([&] { return count(client.seen) >= answers; })) << client.seen;
+    return client.seen;
+  }
+  static std::size_t count(const std::string& seen) {
+    std::size_t found = 0;
+    for (std::size_t at = 0; (at = seen.find("HTTP/1.1 ", at)) != std::string::npos; ++at) ++found;
+    return seen.ends_with("HTTP/1.1 ") ? 0 : found;
+  }
+  static bool says(const std::string& seen, const std::string& part) {
+    return seen.find(part) != std::string::npos;
+  }
+  const core::Tally& tally() { return router.gateway().tally(); }
+
+  transport::Reactor reactor;
+  Pump pump{reactor};
+  Silent silent;
+  RawServer server{reactor};
+  router::RouterProcess router{reactor, deployment::read_text("f", deployment_text), 5, silent};
+  std::vector<std::unique_ptr<RawPeer>> clients;
+  std::vector<std::string> shot;
+  bool answering = true;
+};
+
+TEST_F(FrontStory, AnEventInBinaryModeIsHonouredAsACloudEvent) {
+  const std::string seen = say(request("one"));
+  EXPECT_TRUE(says(seen, "HTTP/1.1 200")) << seen;
+  EXPECT_TRUE(says(seen, "ce-type: t"));
+  EXPECT_TRUE(seen.ends_with("\"one\""));
+}
+
+TEST_F(FrontStory, AnEventInStructuredModeIsTheSameEvent) {
+  const std::string body =
+      R"({"specversion":"1.0","id":"two","source":"/c","type":"org.lookup","function":"f","lanes":2})";
+  const std::string seen =
+      say("POST / HTTP/1.1\r\nhost: x\r\ncontent-type: application/cloudevents+json\r\ncontent-length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body);
+  EXPECT_TRUE(says(seen, "HTTP/1.1 200")) << seen;
+  EXPECT_EQ(shot, std::vector<std::string>{"two"});
+}
+
+TEST_F(FrontStory, ABatchIsAnsweredEventByEvent) {
+  const std::string good =
+      R"({"specversion":"1.0","id":"a","source":"/c","type":"org.lookup","function":"f"})";
+  const std::string bad = R"({"specversion":"1.0","id":"b","source":"/c","type":"org.lookup"})";
+  const std::string body = "[" + good + "," + bad + "]";
+  const std::string seen = say(
+      "POST / HTTP/1.1\r\nhost: x\r\ncontent-type: application/cloudevents-batch+json\r\ncontent-length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+  EXPECT_TRUE(says(seen, "HTTP/1.1 200")) << seen;
+  EXPECT_TRUE(says(seen, R"("status":400)")) << seen;
+  EXPECT_TRUE(says(seen, R"("attribute":"function")")) << seen;
+  EXPECT_TRUE(says(seen, R"("status":200)")) << seen;
+  EXPECT_EQ(tally().taken, 1U);
+}
+
+TEST_F(FrontStory, AnEmptyBatchIsAnsweredAtOnce) {
+  EXPECT_TRUE(says(say("POST / HTTP/1.1\r\nhost: x\r\ncontent-type: "
+                       "application/cloudevents-batch+json\r\ncontent-length: 2\r\n\r\n[]"),
+                   "[]"));
+}
+
+TEST_F(FrontStory, WhatIsMalformedNamesTheAttributeAndNeverReachesTheModule) {
+  for (const char* line :
+       {"ce-time: soon\r\n", "ce-lanes: none\r\n", "ce-my_own: 1\r\n", "ce-function: g\r\n"}) {
+    const std::string seen = say(request("x", std::string(line) + "content-length: 0\r\n\r\n"));
+    EXPECT_TRUE(says(seen, "HTTP/1.1 400")) << seen;
+    EXPECT_TRUE(says(seen, "application/problem+json")) << seen;
+    EXPECT_TRUE(says(seen, "\"attribute\"")) << seen;
+  }
+  EXPECT_TRUE(says(say("rubbish\r\n\r\n"), "HTTP/1.1 400"));
+  EXPECT_TRUE(says(say("GET / HTTP/1.1\r\nhost: x\r\n\r\n"), "HTTP/1.1 405"));
+  EXPECT_TRUE(says(say("POST /elsewhere HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n"), "HTTP/1.1 404"));
+  EXPECT_TRUE(says(say("POST / HTTP/1.1\r\nhost: x\r\ncontent-type: "
+                       "application/cloudevents+avro\r\ncontent-length: 0\r\n\r\n"),
+                   "HTTP/1.1 415"));
+  EXPECT_EQ(tally().taken, 0U);
+}
+
+TEST_F(FrontStory, WhatIsTooLargeIsToldSoAndTheConnectionEnds) {
+  const std::string body(2'000, 'x');
+  EXPECT_TRUE(says(say(request("x", "content-length: 2000\r\n\r\n" + body)), "HTTP/1.1 413"));
+  EXPECT_TRUE(says(say(request("x", "transfer-encoding: chunked\r\n\r\n7d0\r\n" + body + "\r\n0\r\n\r\n")),
+                   "HTTP/1.1 413"));
+  EXPECT_TRUE(says(say(request("x", "ce-x: " + std::string(20'000, 'h') + "\r\n\r\n")), "HTTP/1.1 431"));
+  EXPECT_TRUE(pump.until([&] { return clients.back()->ended; }));
+  EXPECT_EQ(tally().taken, 0U);
+}
+
+TEST_F(FrontStory, AHalfSentRequestTimesOut) {
+  RawPeer& client = connect();
+  client.stream->write(head);
+  ASSERT_TRUE(pump.until([&] { return client.ended; }));
+  EXPECT_TRUE(says(client.seen, "HTTP/1.1 408")) << client.seen;
+}
+
+TEST_F(FrontStory, PipelinedRequestsAreAnsweredInTheirOrderOneAtATime) {
+  const std::string seen = say(request("p1") + request("p2") + request("p3") + request("p4"), 4);
+  EXPECT_EQ(shot, (std::vector<std::string>{"p1", "p2", "p3", "p4"}));
+  EXPECT_LT(seen.find("\"p1\""), seen.find("\"p2\""));
+  EXPECT_LT(seen.find("\"p3\""), seen.find("\"p4\""));
+}
+
+TEST_F(FrontStory, OneByteAtATimeAndChunkedTheRequestIsTheSame) {
+  reactor.most_at_once = 1;
+  const std::string seen =
+      say(request("slow", "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n"));
+  EXPECT_TRUE(says(seen, "HTTP/1.1 200")) << seen;
+}
+
+TEST_F(FrontStory, AClientThatAsksFirstIsToldToContinue) {
+  RawPeer& client = connect();
+  client.stream->write(request("c", "expect: 100-continue\r\ncontent-length: 4\r\n\r\n"));
+  ASSERT_TRUE(pump.until([&] { return says(client.seen, "HTTP/1.1 100 Continue\r\n\r\n"); }));
+  client.stream->write("data");
+  ASSERT_TRUE(pump.until([&] { return says(client.seen, "HTTP/1.1 200"); }));
+  EXPECT_EQ(count(client.seen), 2U);
+}
+
+TEST_F(FrontStory, AClientThatAsksToSendTooMuchIsNotToldToContinue) {
+  const std::string seen = say(request("c", "expect: 100-continue\r\ncontent-length: 4000\r\n\r\n"));
+  EXPECT_TRUE(says(seen, "HTTP/1.1 413")) << seen;
+  EXPECT_FALSE(says(seen, "100 Continue"));
+}
+
+TEST_F(FrontStory, BeyondTheOpenCapAnEventIsTurnedAwayHarmlessly) {
+  answering = false;
+  for (int i = 0; i < 3; ++i) connect().stream->write(request(std::to_string(i)));
+  ASSERT_TRUE(pump.until([&] { return router.gateway().open() == 3; }));
+  const std::string seen = say(request("x"));
+  EXPECT_TRUE(says(seen, "HTTP/1.1 503")) << seen;
+  EXPECT_TRUE(says(seen, "retry-after: 1"));
+  EXPECT_TRUE(says(seen, R"("harmless_to_repeat":true)"));
+}
+
+TEST_F(FrontStory, AClientThatLeavesEndsItsEventAndItsShot) {
+  answering = false;
+  RawPeer& client = connect();
+  client.stream->write(request("gone"));
+  ASSERT_TRUE(pump.until([&] { return !shot.empty(); }));
+  client.stream->close();
+  ASSERT_TRUE(pump.until([&] { return tally().gone == 1; }));
+  EXPECT_TRUE(pump.until([&] { return server.peers.front()->ended; }));
+  EXPECT_EQ(router.gateway().open(), 0U);
+}
+
+TEST_F(FrontStory, AnEventThatMayHaveRunIsAbandonedAndSaysSo) {
+  server.on_bytes = [](RawPeer& peer) { peer.stream->close(); };
+  std::string booking = request("b");
+  booking.replace(booking.find("org.lookup"), 10, "booking");
+  const std::string seen = say(booking);
+  EXPECT_TRUE(says(seen, "HTTP/1.1 504")) << seen;
+  EXPECT_TRUE(says(seen, R"("harmless_to_repeat":false)"));
+  EXPECT_EQ(tally().shots, 1U);
+}
+
+TEST_F(FrontStory, WithNobodyToSendToAnEventIsShedAndMayBeRepeated) {
+  router.gateway().roster(RosterForm::complete, {});
+  RawPeer& client = connect();
+  client.stream->write(request("s"));
+  ASSERT_TRUE(pump.until([&] { return count(client.seen) == 1; }));
+  EXPECT_TRUE(says(client.seen, "HTTP/1.1 503")) << client.seen;
+  EXPECT_TRUE(says(client.seen, R"("outcome":"shed")"));
+  EXPECT_TRUE(says(client.seen, "retry_after_ms"));
+}
+
+TEST_F(FrontStory, WindingUpAnswersWhatIsOpenAndEndsTheConnections) {
+  answering = false;
+  RawPeer& client = connect();
+  client.stream->write(request("w"));
+  ASSERT_TRUE(pump.until([&] { return !shot.empty(); }));
+  bool over = false;
+  router.wind_up([&] { over = true; });
+  RawPeer& late = connect();
+  ASSERT_TRUE(pump.until([&] { return late.ended; }));
+  server.peers.front()->stream->write(
+      "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r\r\nce-source: /s\r\nce-type: t\r\ncontent-length: "
+      "0\r\n\r\n");
+  ASSERT_TRUE(pump.until([&] { return client.ended; }));
+  EXPECT_TRUE(says(client.seen, "HTTP/1.1 200")) << client.seen;
+  EXPECT_TRUE(says(client.seen, "Connection: close")) << client.seen;
+  EXPECT_TRUE(pump.until([&] { return over; }));
+}
+
+}  // namespace
+}  // namespace rushhill
--- /dev/null
+++ b/tests/loopback.h
@@ -0,0 +1,131 @@
+// Raw peers on loopback for the stories on real sockets: what they send and see is bytes.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/ports.h"
+#include "transport/reactor.h"
+
+namespace rushhill {
+
+// Moves a reactor's loop, which can be run only once, a part at a time: it stands still, parked in an alarm,
+// while the story looks and acts. Declared right after the reactor.
+class Pump {
+ public:
+  explicit Pump(transport::Reactor& reactor) : reactor_(reactor) {
+    reactor_.at(1, [this] { park(); });
+    loop_ = std::thread([this] {
+      std::unique_lock lock(mutex_);
+      wait_.wait(lock, [this] { return loops_turn_; });
+      lock.unlock();
+      reactor_.run();
+    });
+  }
+  ~Pump() {
+    ending_ = true;
+    give_turn();
+    loop_.join();
+  }
+  Pump(const Pump&) = delete;
+  Pump& operator=(const Pump&) = delete;
+
+  // False where it does not hold within a time that is far longer than it should take.
+  bool until(const std::function<bool()>& holds, Time most = 300'000) {
+    const Time end = reactor_.now() + most;
+    while (!holds()) {
+      if (reactor_.now() >= end) return false;
+      reactor_.at(reactor_.now() + 10, [this] { park(); });
+      turn();
+    }
+    return true;
+  }
+  void pass(Time span) {
+    reactor_.at(reactor_.now() + span, [this] { park(); });
+    turn();
+  }
+
+ private:
+  void park() {
+    std::unique_lock lock(mutex_);
+    loops_turn_ = false;
+    wait_.notify_all();
+    wait_.wait(lock, [this] { return loops_turn_; });
+    lock.unlock();
+    if (!ending_) return;
+    reactor_.forget_all();
+    reactor_.halt();
+  }
+  void give_turn() {
+    const std::lock_guard lock(mutex_);
+    loops_turn_ = true;
+    wait_.notify_all();
+  }
+  void turn() {
+    give_turn();
+    std::unique_lock lock(mutex_);
+    wait_.wait(lock, [this] { return !loops_turn_; });
+  }
+
+  transport::Reactor& reactor_;
+  std::mutex mutex_;
+  std::condition_variable wait_;
+  bool loops_turn_ = false, ending_ = false;
+  std::thread loop_;
+};
+
+class Silent final : public core::Diary {
+ public:
+  bool wants(core::Level) const override { return false; }
+  void line(core::Level, const char*, Fields) override {}
+};
+
+// One end of a connection, written by hand.
+class RawPeer final : public transport::StreamUser {
+ public:
+  RawPeer(transport::Reactor& reactor, const transport::Address& to) {
+    stream = transport::Stream::connect(reactor, to, *this);
+  }
+  RawPeer(transport::Reactor& reactor, const Poco::Net::StreamSocket& socket) {
+    stream = transport::Stream::adopt(reactor, socket, *this);
+  }
+  ~RawPeer() override { stream->close(); }
+  void arrived(std::string_view bytes) override {
+    seen += bytes;
+    if (on_bytes) on_bytes();
+  }
+  void lost(transport::Loss) override { ended = true; }
+
+  std::shared_ptr<transport::Stream> stream;
+  std::string seen;
+  bool ended = false;
+  std::function<void()> on_bytes;
+};
+
+// A listener whose connections a story handles by hand.
+class RawServer {
+ public:
+  explicit RawServer(transport::Reactor& reactor)
+      : listener(reactor, transport::numeric_address("127.0.0.1:0"), false,
+                 [this, &reactor](const Poco::Net::StreamSocket& socket) {
+                   peers.push_back(std::make_unique<RawPeer>(reactor, socket));
+                   RawPeer& peer = *peers.back();
+                   peer.on_bytes = [this, &peer] {
+                     if (on_bytes) on_bytes(peer);
+                   };
+                 }) {}
+  std::string address() const { return listener.address().toString(); }
+
+  std::function<void(RawPeer&)> on_bytes;
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  transport::Listener listener;
+};
+
+}  // namespace rushhill
--- /dev/null
+++ b/tests/membership/roster_test.cpp
@@ -0,0 +1,135 @@
+// The roster's words, right and wrong, and what a router does when its source breaks.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "loopback.h"
+#include "membership/roster_client.h"
+
+namespace rushhill::membership {
+namespace {
+
+RosterWord word(const std::string& servers) {
+  return read_word(R"({"form":"changes","revision":3,"servers":[)" + servers + "]}", 1'000);
+}
+std::string refusal(const std::string& line) {
+  try {
+    read_word(line, 0);
+    return "taken";
+  } catch (const std::invalid_argument& wrong) {
+    return wrong.what();
+  }
+}
+
+TEST(RosterWords, AServerNamedTwiceGetsTheStricterCondition) {
+  const RosterWord told = word(R"({"id":"a","address":"127.0.0.1:1","condition":"draining"},
+                                  {"id":"a","address":"127.0.0.1:1","condition":"active"})");
+  ASSERT_EQ(told.entries.size(), 1U);
+  EXPECT_EQ(told.entries[0].server.condition, Condition::leaving);
+  EXPECT_EQ(told.remarks.size(), 1U);
+}
+
+TEST(RosterWords, ANewerLifeOfTheSameServerCountsAlone) {
+  const RosterWord told = word(R"({"id":"a","address":"127.0.0.1:2","started_ms":900,"condition":"active"},
+                                  {"id":"a","address":"127.0.0.1:1","started_ms":500,"condition":"gone"})");
+  ASSERT_EQ(told.entries.size(), 1U);
+  EXPECT_EQ(told.entries[0].server.condition, Condition::active);
+  EXPECT_EQ(told.entries[0].address, "127.0.0.1:2");
+  EXPECT_EQ(told.entries[0].server.started, 8'000);  // 9000 tenths less the offset
+}
+
+TEST(RosterWords, AnAddressThatTwoServersClaimBelongsToTheLaterStart) {
+  const RosterWord told = word(R"({"id":"a","address":"127.0.0.1:1","started_ms":500},
+                                  {"id":"b","address":"127.0.0.1:1","started_ms":900})");
+  ASSERT_EQ(told.entries.size(), 2U);
+  EXPECT_EQ(told.entries[0].server.condition, Condition::left);
+  EXPECT_EQ(told.entries[1].server.condition, Condition::active);
+}
+
+TEST(RosterWords, WhatCannotBeReadNamesTheField) {
+  EXPECT_NE(refusal("nonsense").find("not a JSON object"), std::string::npos);
+  EXPECT_NE(refusal(R"({"form":"all","servers":[]})").find("'form'"), std::string::npos);
+  EXPECT_NE(refusal(R"({"form":"complete"})").find("'servers'"), std::string::npos);
+  EXPECT_NE(refusal(R"({"form":"complete","servers":[{"address":"x"}]})").find("'id'"), std::string::npos);
+  EXPECT_NE(refusal(R"({"form":"complete","servers":[{"id":"a"}]})").find("'address'"), std::string::npos);
+  EXPECT_NE(refusal(R"({"form":"complete","servers":[{"id":"a b","address":"x"}]})").find("'id'"),
+            std::string::npos);
+  EXPECT_NE(
+      refusal(R"({"form":"complete","servers":[{"id":"a","address":"x","rating":-1}]})").find("'rating'"),
+      std::string::npos);
+  EXPECT_NE(refusal(R"({"form":"complete","servers":[{"id":"a","address":"x","condition":"ill"}]})")
+                .find("'condition'"),
+            std::string::npos);
+}
+
+TEST(RosterWords, WhatIsRememberedIsReadBackTheSame) {
+  Remembered remembered;
+  remembered.hear(word(R"({"id":"a","address":"127.0.0.1:1","started_ms":500,"rating":2.5,"kind":"k",
+                           "location":"l","cell":4},{"id":"b","address":"127.0.0.1:2"})"));
+  remembered.hear(word(R"({"id":"b","condition":"gone"})"));
+  RosterWord whole = remembered.whole();
+  ASSERT_EQ(whole.entries.size(), 1U);
+  whole.form = RosterForm::complete;
+  const RosterWord back = read_word(write_word(whole, 1'000), 1'000);
+  EXPECT_EQ(back.entries[0].server.started, whole.entries[0].server.started);
+  EXPECT_EQ(back.entries[0].server.rating, 2.5);
+  EXPECT_EQ(back.entries[0].server.cell, 4);
+  EXPECT_EQ(back.entries[0].address, "127.0.0.1:1");
+}
+
+class Following : public testing::Test {
+ protected:
+  Following() {
+    server.on_bytes = [&](RawPeer& peer) {
+      ++asked;
+      if (answer.empty()) return;
+      peer.stream->write(answer);
+    };
+    client.follow(true);
+  }
+  int failures() const {
+    return static_cast<int>(std::count(heard.begin(), heard.end(), RosterForm::failed));
+  }
+
+  transport::Reactor reactor;
+  Pump pump{reactor};
+  Silent silent;
+  RawServer server{reactor};
+  std::string answer = R"({"form":"complete","servers":[{"id":"a","address":"127.0.0.1:1"}]})"
+                       "\n";
+  int asked = 0;
+  std::vector<RosterForm> heard;
+  RosterClient client{
+      reactor,
+      transport::numeric_address(server.address()),
+      4,
+      50,
+      1,
+      silent,
+      [this](RosterForm form, const std::vector<core::RosterEntry>&) { heard.push_back(form); }};
+};
+
+TEST_F(Following, ABreakIsToldAndTheCompleteListAskedForAgain) {
+  ASSERT_TRUE(pump.until([&] { return heard.size() == 1; }));
+  EXPECT_NE(server.peers.front()->seen.find("\"router\":4"), std::string::npos);
+  server.peers.front()->stream->close();
+  ASSERT_TRUE(pump.until([&] { return heard.size() == 3; }));
+  EXPECT_EQ(heard, (std::vector<RosterForm>{RosterForm::complete, RosterForm::failed, RosterForm::complete}));
+}
+
+TEST_F(Following, AWordThatCannotBeReadBreaksTheConnectionAndNotTheList) {
+  ASSERT_TRUE(pump.until([&] { return heard.size() == 1; }));
+  server.peers.front()->stream->write("{\"form\":\n");
+  ASSERT_TRUE(pump.until([&] { return failures() == 1 && heard.back() == RosterForm::complete; }));
+  EXPECT_TRUE(client.heard_any());
+}
+
+TEST_F(Following, AWordSplitAnywhereIsHeardOnce) {
+  reactor.most_at_once = 3;
+  ASSERT_TRUE(pump.until([&] { return heard.size() == 1; }));
+  pump.pass(200);
+  EXPECT_EQ(heard.size(), 1U);
+}
+
+}  // namespace
+}  // namespace rushhill::membership
--- /dev/null
+++ b/tests/router/router_test.cpp
@@ -0,0 +1,184 @@
+// A whole router on loopback before stand-in servers, one fault at a time, judged by the checker from what
+// the sockets showed.
+#include <cstdio>
+#include <fstream>
+#include <set>
+
+#include "checker/judge.h"
+#include "loopback.h"
+#include "router/router_process.h"
+#include "standin/clients.h"
+#include "standin/fleet.h"
+#include "standin/roster_board.h"
+
+namespace rushhill {
+namespace {
+
+using standin::Day;
+using standin::TroubleKind;
+
+Day small_day() {
+  Day day = standin::scripted_bad_day(120, 60, 11, true, true);
+  day.troubles.clear();
+  day.servers.resize(4);
+  for (auto& server : day.servers) server.location = "here", server.cell = 1;
+  day.functions.resize(4);
+  for (auto& function : day.functions) function.load = 500;
+  for (auto& type : day.types) type.share = 1;
+  day.routers = 1;
+  day.roster_lag_least = 0, day.roster_lag_most = 100;
+  day.rules.load_free = 50;
+  return day;
+}
+
+// Router, servers, roster and clients on one reactor, each with sockets of its own.
+class Scene {
+ public:
+  explicit Scene(const Day& of) : day(of) {
+    file = testing::TempDir() + "rushhill-" + std::to_string(reinterpret_cast<std::uintptr_t>(this)) + "-" +
+           std::to_string(transport::monotonic_ns());
+    record = std::make_unique<standin::Record>(file);
+    board = std::make_unique<standin::RosterBoard>(reactor, transport::numeric_address("127.0.0.1:0"), day,
+                                                   *record);
+    fleet = std::make_unique<standin::Fleet>(reactor, day, *record);
+    fleet->announce_to(board->address());
+    pump.pass(300);
+    const std::string text =
+        standin::deployment_of(day, 0, "127.0.0.1:0", board->address().toString(), "", {});
+    router = std::make_unique<router::RouterProcess>(reactor, deployment::read_text("f", text), 3, silent);
+    pump.pass(300);
+  }
+  ~Scene() { std::remove(file.c_str()); }
+
+  void play() {
+    bool over = false;
+    standin::Clients clients(reactor, day, {router->address()}, *record, [&] { over = true; });
+    const Time start = reactor.now();
+    fleet->play(start);
+    board->play(start);
+    clients.play(start);
+    ASSERT_TRUE(pump.until([&] { return over; }, 900'000));
+    fleet->close();
+    record->flush();
+    std::ifstream in(file);
+    seen = checker::read_records(in, "records");
+    verdict = checker::judge(nlohmann::json::parse(standin::to_json(day)), seen);
+  }
+  // How often a shot at a server ended so, or with such a fault.
+  int count(const std::string& word) const {
+    int found = 0;
+    for (const auto& line : seen)
+      found += line.value("what", "") == "shot" &&
+               (line.value("how", "") == word || line.value("fault", "") == word);
+    return found;
+  }
+
+  Day day;
+  std::string file;
+  transport::Reactor reactor;
+  Pump pump{reactor};
+  Silent silent;
+  std::unique_ptr<standin::Record> record;
+  std::unique_ptr<standin::RosterBoard> board;
+  std::unique_ptr<standin::Fleet> fleet;
+  std::unique_ptr<router::RouterProcess> router;
+  std::vector<nlohmann::json> seen;
+  checker::Verdict verdict;
+};
+
+struct Fault {
+  TroubleKind kind;
+  const char* shows;  // what the servers' records must show of it
+};
+class Faults : public testing::TestWithParam<Fault> {};
+
+// Reissuable, numbered and at-most-once events go through each fault at two of four servers.
+TEST_P(Faults, KeepAllRules) {
+  Day day = small_day();
+  day.troubles.push_back({GetParam().kind, 3'000, 15'000, 3, {day.servers[0].id, day.servers[1].id}});
+  Scene scene(day);
+  scene.play();
+  EXPECT_TRUE(scene.verdict.good()) << checker::as_text(scene.verdict);
+  EXPECT_GT(scene.verdict.outcomes["honoured"], 30) << checker::as_text(scene.verdict);
+  if (*GetParam().shows != 0) {
+    EXPECT_GT(scene.count(GetParam().shows), 0) << GetParam().shows;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, Faults,
+    testing::Values(Fault{TroubleKind::silence, "silent"}, Fault{TroubleKind::mute_head, "mute-head"},
+                    Fault{TroubleKind::mute_half, "mute-half"}, Fault{TroubleKind::reset, "reset"},
+                    Fault{TroubleKind::refuse, ""}, Fault{TroubleKind::slow, ""},
+                    Fault{TroubleKind::fail_fast, "error"}, Fault{TroubleKind::crash, ""},
+                    Fault{TroubleKind::lose_answers, "lost-answer"}, Fault{TroubleKind::trickle, "answered"},
+                    Fault{TroubleKind::garbage, "garbage"}, Fault{TroubleKind::close_on_use, "closed-on-use"},
+                    Fault{TroubleKind::drain, ""}, Fault{TroubleKind::roster_twice, ""}));
+
+TEST(Router, FromTheWordOnADrainingServerGetsNoEventAndNoOrder) {
+  Scene scene(small_day());
+  const std::string away = scene.day.servers[0].id;
+  nlohmann::json entry = nlohmann::json::parse(scene.fleet->entry(away));
+  entry["condition"] = "draining";
+  scene.board->announce(entry);
+  scene.pump.pass(1'000);
+  const std::int64_t told = transport::monotonic_ns();
+  scene.play();
+  EXPECT_TRUE(scene.verdict.good()) << checker::as_text(scene.verdict);
+  for (const auto& line : scene.seen) {
+    const std::string what = line.value("what", "");
+    if (what != "shot" && what != "order") continue;
+    EXPECT_FALSE(line.value("server", "") == away && line.value("at", std::int64_t{0}) > told) << line.dump();
+  }
+}
+
+TEST(Router, AnAddressThatBelongsToAnotherServerRunsNothingThere) {
+  Scene scene(small_day());
+  nlohmann::json entry = nlohmann::json::parse(scene.fleet->entry(scene.day.servers[0].id));
+  entry["address"] = scene.fleet->address(scene.day.servers[1].id).toString();
+  scene.board->tell_now({{"form", "changes"}, {"revision", 9}, {"servers", nlohmann::json::array({entry})}});
+  scene.pump.pass(300);
+  scene.play();
+  EXPECT_TRUE(scene.verdict.good()) << checker::as_text(scene.verdict);
+  int misdirected = 0;
+  for (const auto& line : scene.seen) misdirected += line.value("refusal", "") == "misdirected";
+  EXPECT_GT(misdirected, 0);
+  for (const auto& line : scene.seen) {
+    if (line.value("what", "") == "ran") {
+      EXPECT_NE(line.value("server", ""), scene.day.servers[0].id);
+    }
+  }
+  EXPECT_GT(scene.verdict.outcomes["honoured"], 60) << checker::as_text(scene.verdict);
+}
+
+TEST(Router, AfterARosterThatComesAndGoesTheListStandsAsItWas) {
+  Day day = small_day();
+  day.troubles.push_back({TroubleKind::roster_break, 2'000, 8'000, 1, {}});
+  Scene scene(day);
+  scene.play();
+  EXPECT_TRUE(scene.verdict.good()) << checker::as_text(scene.verdict);
+  EXPECT_GT(scene.verdict.outcomes["honoured"], 60) << checker::as_text(scene.verdict);
+  int complete = 0;
+  for (const auto& line : scene.seen)
+    complete += line.value("what", "") == "told" && line.value("complete", false);
+  EXPECT_GE(complete, 2);  // asked again after the break
+}
+
+TEST(Router, ARememberedListServesWhileTheRosterIsAway) {
+  const std::string file =
+      testing::TempDir() + "rushhill-remembered-" + std::to_string(transport::monotonic_ns());
+  Scene scene(small_day());
+  std::ofstream(file) << R"({"form":"complete","revision":1,"servers":[)"
+                      << scene.fleet->entry(scene.day.servers[2].id) << "]}\n";
+  std::string text = standin::deployment_of(scene.day, 0, "127.0.0.1:0", "127.0.0.1:1", "", {});
+  text.insert(text.find("[roster]\n") + 9, "remembered = " + file + "\n");
+  scene.router = std::make_unique<router::RouterProcess>(scene.reactor, deployment::read_text("f", text), 3,
+                                                         scene.silent);
+  scene.play();
+  EXPECT_GT(scene.verdict.outcomes["honoured"], 60) << checker::as_text(scene.verdict);
+  EXPECT_EQ(scene.verdict.rules["1 one final answer"].breaks, 0);
+  std::remove(file.c_str());
+}
+
+}  // namespace
+}  // namespace rushhill
--- /dev/null
+++ b/tests/standin/machine_test.cpp
@@ -0,0 +1,163 @@
+// The machines' model: it must fail as real ones do, or the days prove nothing.
+#include "standin/machine.h"
+
+#include <gtest/gtest.h>
+
+#include "core/alarms.h"
+
+namespace rushhill::standin {
+namespace {
+
+constexpr Time second = 10'000;
+
+class HandClock final : public core::Clockwork {
+ public:
+  Time now() const override { return now_; }
+  core::Alarm at(Time when, Call call) override { return alarms_.set(when, std::move(call)); }
+  void withdraw(core::Alarm& alarm) override { alarms_.withdraw(alarm); }
+  void soon(Call call) override { alarms_.set(now_, std::move(call)); }
+  void pass(Time span) {
+    const Time end = now_ + span;
+    while (alarms_.next() && *alarms_.next() <= end) {
+      now_ = std::max(now_, *alarms_.next());
+      alarms_.ring(now_);
+    }
+    now_ = end;
+  }
+
+ private:
+  Time now_ = 100 * second;
+  core::Alarms alarms_;
+};
+
+class MachineStory : public testing::Test {
+ protected:
+  void make(bool missing = false, bool cold = false) {
+    machine = std::make_unique<Machine>(place, rules, missing, store, clock, 3);
+    machine->start(cold);
+  }
+  Machine::JobId take(const FunctionMake& function, Time work = 200) {
+    return machine->take(
+        {&function, work, 0}, [this] { ++began; }, [this](const Machine::End& end) { ends.push_back(end); });
+  }
+
+  HandClock clock;
+  MachineMake place{.id = "m", .cores = 2, .memory_mb = 1000, .loads_at_once = 2, .keep_alive = 5 * second};
+  RuleFigures rules;
+  Store store{{}};
+  FunctionMake a{.name = "a", .memory_mb = 400, .lanes = 1, .load = second / 2};
+  FunctionMake b{.name = "b", .memory_mb = 400, .lanes = 1, .load = second / 2};
+  FunctionMake c{.name = "c", .memory_mb = 400, .lanes = 1, .load = second / 2};
+  std::unique_ptr<Machine> machine;
+  std::vector<Machine::End> ends;
+  int began = 0;
+};
+
+TEST_F(MachineStory, TheFirstEventWaitsForTheLoadAndTheNextFindsTheCopy) {
+  make();
+  take(a);
+  clock.pass(second / 4);
+  EXPECT_EQ(began, 0);
+  clock.pass(second);
+  take(a);
+  clock.pass(second);
+  ASSERT_EQ(ends.size(), 2U);
+  EXPECT_EQ(ends[0].warmth, Warmth::began_load);
+  EXPECT_EQ(ends[1].warmth, Warmth::found);
+}
+
+TEST_F(MachineStory, AnIdleCopyGivesWayAndABusyOneDoesNot) {
+  make();
+  take(a);
+  take(b, 100 * second);
+  clock.pass(2 * second);
+  take(c);  // a's place
+  clock.pass(second);
+  ASSERT_EQ(ends.size(), 2U);
+  take(a);  // c's place, which is idle by now
+  take(c);  // no room: a loads, b works
+  EXPECT_EQ(ends.back().fate, Fate::full);
+}
+
+TEST_F(MachineStory, AnIdleCopyLapses) {
+  make();
+  take(a);
+  clock.pass(second);
+  EXPECT_EQ(machine->standing().front().second, 1);
+  clock.pass(6 * second);
+  EXPECT_EQ(machine->standing().front().second, 0);
+}
+
+TEST_F(MachineStory, AColdMachineFallsOverWhenPushedAndAWarmOneDoesNot) {
+  make(false, false);
+  for (int i = 0; i < 100; ++i) take(a, 1'000);
+  EXPECT_FALSE(machine->fallen());
+  make(false, true);
+  // 0.16 of two cores, twice that for a second and a half: 9600 tenths of work.
+  for (int i = 0; i < 9; ++i) take(a, 1'000);
+  EXPECT_FALSE(machine->fallen());
+  take(a, 1'000);
+  EXPECT_TRUE(machine->fallen());
+  const std::size_t before = ends.size();
+  take(b);
+  clock.pass(20 * second);
+  EXPECT_EQ(ends.size(), before);  // silent for good
+}
+
+TEST_F(MachineStory, WhatIsDroppedBeforeItBeginsNeverRuns) {
+  make();
+  const auto job = take(a);
+  machine->drop(job);
+  clock.pass(2 * second);
+  EXPECT_EQ(began, 0);
+  EXPECT_EQ(machine->in_hand(), 0);
+}
+
+TEST_F(MachineStory, AFailedFetchIsToldToAllThatWaited) {
+  make();
+  store.trouble(1, true);
+  take(a);
+  take(a);
+  clock.pass(second);
+  ASSERT_EQ(ends.size(), 2U);
+  EXPECT_EQ(ends[0].fate, Fate::load_failed);
+  EXPECT_EQ(ends[1].fate, Fate::load_failed);
+  EXPECT_EQ(began, 0);
+}
+
+TEST_F(MachineStory, WhereMissingIsAnsweredOnlyAnOrderBringsACopy) {
+  make(true);
+  take(a);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].fate, Fate::not_stored);
+  int copies = 0;
+  machine->hold(a, 1, [&](Fate fate, int standing) { copies = fate == Fate::ran ? standing : -1; });
+  take(a);  // waits on the load that was ordered
+  clock.pass(second);
+  EXPECT_EQ(copies, 1);
+  EXPECT_EQ(ends.back().fate, Fate::ran);
+}
+
+TEST_F(MachineStory, WorkWhoseTimeIsUpIsNotBegun) {
+  make();
+  machine->take(
+      {&a, 200, clock.now() + 10}, [this] { ++began; },
+      [this](const Machine::End& end) { ends.push_back(end); });
+  clock.pass(second);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].fate, Fate::expired);
+  EXPECT_EQ(began, 0);
+}
+
+TEST_F(MachineStory, ACrowdedStoreIsSlower) {
+  make();
+  StoreMake small{.fetches_at_once = 1, .most_fetches = 2};
+  Store crowded(small);
+  const Time first = crowded.begin(1'000);
+  const Time second_fetch = crowded.begin(1'000);
+  EXPECT_GT(second_fetch, first);
+  EXPECT_LT(crowded.begin(1'000), 0);
+}
+
+}  // namespace
+}  // namespace rushhill::standin
--- /dev/null
+++ b/tests/transport/server_pool_test.cpp
@@ -0,0 +1,276 @@
+// The way to the model servers: whatever a server does at any byte, a shot ends exactly once and with the
+// ending that is known for certain.
+#include "transport/server_pool.h"
+
+#include "loopback.h"
+
+namespace rushhill::transport {
+namespace {
+
+const std::string answer =
+    "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r\r\nce-source: /s\r\nce-type: t\r\n"
+    "rushhill-copy: found\r\ncontent-length: 4\r\n\r\ndata";
+
+struct Ends final : core::Carried {
+  void shot_ended(EventId event, int, core::ShotResult result) override {
+    events.push_back(event);
+    shots.push_back(std::move(result));
+  }
+  void probe_ended(const ServerId&, Ending ending, const LoadReport& told) override {
+    probes.push_back(ending);
+    report = told;
+  }
+  void order_ended(const ServerId&, const FunctionId&, Ending ending, int standing) override {
+    orders.push_back(ending);
+    copies = standing;
+  }
+  std::vector<EventId> events;
+  std::vector<core::ShotResult> shots;
+  std::vector<Ending> probes, orders;
+  LoadReport report;
+  int copies = 0;
+};
+
+class PoolStory : public testing::Test {
+ protected:
+  PoolStory() {
+    pool.report_to(ends);
+    pool.reach("a", server.address());
+  }
+  void shoot(EventId event = 1) {
+    message.id = std::to_string(event);
+    pool.shoot({event, 0, server_id, 10'000, message});
+  }
+  bool ended(std::size_t count) {
+    return pump.until([&] { return ends.shots.size() >= count; });
+  }
+  Ending last() const { return ends.shots.back().ending; }
+
+  Reactor reactor;
+  Pump pump{reactor};
+  Silent silent;
+  RawServer server{reactor};
+  Ends ends;
+  ServerPool pool{
+      reactor, {.connections = 4, .connect_limit = 3'000, .idle = 100'000, .reply = 64 * 1024}, silent};
+  const ServerId server_id = "a";
+  events::CloudEvent message{.id = "1", .source = "/c", .type = "t", .data = "hello"};
+};
+
+bool whole(const std::string& seen) { return seen.ends_with("hello"); }
+
+TEST_F(PoolStory, AnAnswerCutAtAnyByteIsALostConnectionThatMayHaveRun) {
+  for (std::size_t cut = 0; cut <= answer.size(); cut += cut < 60 ? 7 : 1) {
+    server.on_bytes = [&](RawPeer& peer) {
+      if (!whole(peer.seen)) return;
+      peer.stream->write(answer.substr(0, cut));
+      peer.stream->finish();
+    };
+    const std::size_t before = ends.shots.size();
+    shoot();
+    ASSERT_TRUE(ended(before + 1)) << cut;
+    EXPECT_EQ(last(), cut == answer.size() ? Ending::honoured : Ending::connection_lost) << cut;
+  }
+  const std::size_t shots = ends.shots.size();
+  pump.pass(500);
+  EXPECT_EQ(ends.shots.size(), shots);
+}
+
+TEST_F(PoolStory, OneByteAtATimeBothWaysTheExchangeIsTheSame) {
+  reactor.most_at_once = 1;
+  server.on_bytes = [&](RawPeer& peer) {
+    if (whole(peer.seen)) peer.seen.clear(), peer.stream->write(answer);
+  };
+  for (EventId event = 1; event <= 3; ++event) {
+    shoot(event);
+    ASSERT_TRUE(ended(static_cast<std::size_t>(event)));
+    EXPECT_EQ(last(), Ending::honoured);
+    EXPECT_EQ(ends.shots.back().reply.data, "data");
+    EXPECT_EQ(ends.shots.back().warmth, Warmth::found);
+  }
+  EXPECT_EQ(server.peers.size(), 1U);
+}
+
+TEST_F(PoolStory, AKeptConnectionClosedJustAsAShotIsWrittenMayHaveRun) {
+  server.on_bytes = [&](RawPeer& peer) {
+    if (!whole(peer.seen)) return;
+    peer.seen.clear();
+    if (ends.shots.empty()) return peer.stream->write(answer);
+    peer.stream->close();
+  };
+  shoot();
+  ASSERT_TRUE(ended(1));
+  shoot(2);
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(last(), Ending::connection_lost);
+}
+
+TEST_F(PoolStory, AKeptConnectionSeenClosedIsNotUsed) {
+  server.on_bytes = [&](RawPeer& peer) {
+    if (whole(peer.seen)) peer.seen.clear(), peer.stream->write(answer);
+  };
+  shoot();
+  ASSERT_TRUE(ended(1));
+  server.peers.front()->stream->close();
+  shoot(2);  // the end stands to be read, and nobody has read it yet
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(last(), Ending::honoured);
+  EXPECT_EQ(server.peers.size(), 2U);
+}
+
+TEST_F(PoolStory, TheAnswerOfACalledOffShotReachesNoOtherShot) {
+  RawPeer* first = nullptr;
+  server.on_bytes = [&](RawPeer& peer) {
+    if (!whole(peer.seen)) return;
+    if (first == nullptr) first = &peer;
+    if (first != &peer) peer.stream->write(answer);
+  };
+  shoot();
+  ASSERT_TRUE(pump.until([&] { return first != nullptr; }));
+  pool.drop(1, 0);
+  shoot(2);
+  ASSERT_TRUE(ended(1));
+  EXPECT_EQ(ends.events, std::vector<EventId>{2});
+  ASSERT_TRUE(pump.until([&] { return first->ended; }));
+  pump.pass(300);
+  EXPECT_EQ(ends.shots.size(), 1U);
+}
+
+TEST_F(PoolStory, ARefusedConnectionProvesThatNothingRan) {
+  pool.reach("a", "127.0.0.1:1");
+  shoot();
+  ASSERT_TRUE(ended(1));
+  EXPECT_EQ(last(), Ending::no_connection);
+}
+
+TEST_F(PoolStory, AHandshakeThatNobodyAnswersEndsAfterItsLimit) {
+  // A queue of one that is full: the system leaves further handshakes unanswered.
+  Poco::Net::ServerSocket deaf;
+  deaf.bind(numeric_address("127.0.0.1:0"));
+  deaf.listen(0);
+  std::vector<std::unique_ptr<RawPeer>> fill;
+  for (int i = 0; i < 3; ++i) fill.push_back(std::make_unique<RawPeer>(reactor, deaf.address()));
+  pump.pass(200);
+  pool.reach("a", deaf.address().toString());
+  shoot();
+  ASSERT_TRUE(ended(1));
+  EXPECT_EQ(last(), Ending::no_connection);
+}
+
+TEST_F(PoolStory, BeyondTheCapAShotIsToldAtOnceAndNeverWaits) {
+  server.on_bytes = [](RawPeer&) {};
+  for (EventId event = 1; event <= 5; ++event) shoot(event);
+  ASSERT_TRUE(ended(1));
+  EXPECT_EQ(ends.events, std::vector<EventId>{5});
+  EXPECT_EQ(last(), Ending::no_connection);
+  EXPECT_EQ(pool.connections(), 4U);
+}
+
+TEST_F(PoolStory, RefusalsAreToldApartAndInDoubtItMayHaveRun) {
+  const std::vector<std::pair<std::string, Ending>> cases{
+      {"503 X\r\nrushhill-never-ran: full", Ending::turned_away},
+      {"503 X\r\nrushhill-never-ran: draining", Ending::turned_away},
+      {"404 X\r\nrushhill-never-ran: not-stored", Ending::not_stored},
+      {"503 X\r\nrushhill-never-ran: load-failed", Ending::not_stored},
+      {"421 X\r\nrushhill-never-ran: misdirected", Ending::no_connection},
+      {"503 X\r\nrushhill-never-ran: who knows", Ending::error},
+      {"503 X", Ending::error},
+      {"500 X", Ending::error},
+      {"302 X\r\nlocation: /", Ending::error},
+      {"200 X\r\nrushhill-never-ran: full", Ending::error}};  // no event, and a 2xx proves nothing
+  for (const auto& [head, ending] : cases) {
+    server.on_bytes = [&](RawPeer& peer) {
+      if (whole(peer.seen))
+        peer.seen.clear(), peer.stream->write("HTTP/1.1 " + head + "\r\ncontent-length: 0\r\n\r\n");
+    };
+    const std::size_t before = ends.shots.size();
+    shoot();
+    ASSERT_TRUE(ended(before + 1));
+    EXPECT_EQ(last(), ending) << head;
+  }
+}
+
+TEST_F(PoolStory, GarbageAndAnEndlessAnswerAreErrorsAndTheConnectionGoes) {
+  for (const std::string& bytes :
+       {std::string("\x16\x03\x01 no http\r\n\r\n"),
+        "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n" + std::string(100'000, 'x'),
+        "HTTP/1.1 200 OK\r\nx: " + std::string(80'000, 'h') + "\r\n\r\n"}) {
+    server.on_bytes = [&](RawPeer& peer) {
+      if (whole(peer.seen)) peer.seen.clear(), peer.stream->write(bytes);
+    };
+    const std::size_t before = ends.shots.size();
+    shoot();
+    ASSERT_TRUE(ended(before + 1));
+    EXPECT_EQ(last(), Ending::error);
+    EXPECT_EQ(pool.connections(), 0U) << bytes.substr(0, 20);
+  }
+}
+
+TEST_F(PoolStory, BytesBeyondAnAnswerMakeTheConnectionUnfitForTheNext) {
+  server.on_bytes = [&](RawPeer& peer) {
+    if (whole(peer.seen)) peer.seen.clear(), peer.stream->write(answer + answer);
+  };
+  shoot();
+  ASSERT_TRUE(ended(1));
+  EXPECT_EQ(last(), Ending::honoured);
+  EXPECT_EQ(pool.connections(), 0U);
+}
+
+TEST_F(PoolStory, AServerThatMovesIsReachedAtItsNewAddressAndTheOldConnectionsGo) {
+  RawServer other(reactor);
+  const auto reply = [&](RawPeer& peer) {
+    if (whole(peer.seen)) peer.seen.clear(), peer.stream->write(answer);
+  };
+  server.on_bytes = other.on_bytes = reply;
+  shoot();
+  ASSERT_TRUE(ended(1));
+  pool.reach("a", other.address());
+  shoot(2);
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(other.peers.size(), 1U);
+  EXPECT_TRUE(pump.until([&] { return server.peers.front()->ended; }));
+}
+
+TEST_F(PoolStory, AServerOnNoListIsNotReached) {
+  pool.reach("a", "");
+  shoot();
+  ASSERT_TRUE(ended(1));
+  EXPECT_EQ(last(), Ending::no_connection);
+  EXPECT_TRUE(server.peers.empty());
+}
+
+TEST_F(PoolStory, ProbesAndOrdersEndOnceAlsoWhereNobodyAnswers) {
+  pool.probe("a", 500);
+  pool.order("a", "ward/1", 2, 500);
+  ASSERT_TRUE(pump.until([&] { return !ends.probes.empty() && !ends.orders.empty(); }));
+  EXPECT_EQ(ends.probes, std::vector<Ending>{Ending::no_answer});
+  EXPECT_EQ(ends.orders, std::vector<Ending>{Ending::no_answer});
+  bool named = false;
+  for (const auto& peer : server.peers)
+    named |= peer->seen.find("/v2/repository/models/ward%2F1/load") != std::string::npos;
+  EXPECT_TRUE(named);
+}
+
+TEST_F(PoolStory, AnOrderTellsTheCopiesThatStand) {
+  server.on_bytes = [&](RawPeer& peer) {
+    peer.stream->write("HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{\"copies\":3}");
+  };
+  pool.order("a", "f", 2, 50'000);
+  ASSERT_TRUE(pump.until([&] { return !ends.orders.empty(); }));
+  EXPECT_EQ(ends.orders, std::vector<Ending>{Ending::honoured});
+  EXPECT_EQ(ends.copies, 3);
+}
+
+TEST(LoadReport, BothFormsAreReadAndNonsenseIsLeftOut) {
+  const LoadReport text =
+      load_report("TEXT cpu_utilization=0.5, named_metrics.inflight=7, rps=bad, x, =1,eps=-1");
+  EXPECT_EQ(text, (LoadReport{{"util", 0.5}, {"inflight", 7}}));
+  const LoadReport json =
+      load_report(R"(JSON {"cpu_utilization":0.25,"named_metrics":{"x1":2,"y":"z"},"eps":1})");
+  EXPECT_EQ(json, (LoadReport{{"util", 0.25}, {"x1", 2}, {"eps", 1}}));
+  EXPECT_TRUE(load_report("BIN abc").empty());
+  EXPECT_TRUE(load_report("JSON [").empty());
+}
+
+}  // namespace
+}  // namespace rushhill::transport
--- /dev/null
+++ b/tests/transport/transport_test.cpp
@@ -0,0 +1,92 @@
+// Alarms, datagrams between routers, and what a stream does when its peer does not read.
+#include <unistd.h>
+
+#include "core/alarms.h"
+#include "loopback.h"
+#include "transport/peer_links.h"
+
+namespace rushhill::transport {
+namespace {
+
+TEST(Alarms, RingInTheirOrderAndWithdrawnOnesNever) {
+  core::Alarms alarms;
+  std::string rung;
+  alarms.set(20, [&] { rung += 'c'; });
+  alarms.set(10, [&] { rung += 'a'; });
+  core::Alarm gone = alarms.set(10, [&] { rung += 'x'; });
+  alarms.set(10, [&] {
+    rung += 'b';
+    alarms.set(5, [&] { rung += '!'; });  // due already
+  });
+  alarms.withdraw(gone);
+  alarms.withdraw(gone);
+  alarms.ring(15);
+  EXPECT_EQ(rung, "ab!");
+  EXPECT_EQ(alarms.next(), 20);
+}
+
+TEST(Alarms, AnAlarmMayWithdrawTheOneThatWouldRingNext) {
+  core::Alarms alarms;
+  bool rung = false;
+  core::Alarm second;
+  alarms.set(1, [&] { alarms.withdraw(second); });
+  second = alarms.set(1, [&] { rung = true; });
+  alarms.ring(1);
+  EXPECT_FALSE(rung);
+}
+
+TEST(NumericAddress, ANameIsNeverLookedUp) {
+  EXPECT_EQ(numeric_address("127.0.0.1:80").toString(), "127.0.0.1:80");
+  for (const char* bad : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999", ":80", "", "[::1:80"})
+    EXPECT_THROW(numeric_address(bad), std::invalid_argument) << bad;
+}
+
+TEST(Peers, OnlyWhatComesFromAKnownRoutersOwnAddressIsHeard) {
+  Reactor reactor;
+  Pump pump(reactor);
+  std::vector<std::pair<int, std::string>> heard;
+  const auto note = [&](int router, const std::string& bytes) { heard.emplace_back(router, bytes); };
+  Datagrams stranger(reactor, numeric_address("127.0.0.1:0"), [](const Address&, std::string_view) {});
+  Poco::Net::DatagramSocket first(numeric_address("127.0.0.1:0")), second(numeric_address("127.0.0.1:0"));
+  const std::vector<std::string> addresses{first.address().toString(), second.address().toString()};
+  PeerLinks one(reactor, "fd:" + std::to_string(dup(first.impl()->sockfd())), 0, addresses, note);
+  PeerLinks two(reactor, "fd:" + std::to_string(dup(second.impl()->sockfd())), 1, addresses, note);
+  two.tell(-1, "box u50");
+  two.tell(0, std::string("with\nfeeds\0and zeros", 20));
+  ASSERT_TRUE(pump.until([&] { return heard.size() == 2; }));
+  EXPECT_EQ(heard[0], std::pair(1, std::string("box u50")));
+  EXPECT_EQ(heard[1].second, std::string("with\nfeeds\0and zeros", 20));
+  for (const std::string& forged :
+       {std::string("rushhill-peer-1 1\nforged"), std::string("rushhill-peer-1 99\nx"),
+        std::string("rubbish"), "rushhill-peer-1 1\n" + std::string(1000, 'x'), std::string()})
+    stranger.send(numeric_address(addresses[0]), forged);
+  pump.pass(300);
+  EXPECT_EQ(heard.size(), 2U);
+}
+
+TEST(Stream, APeerThatDoesNotReadIsToldOfOnceItHasReadAll) {
+  Reactor reactor;
+  Pump pump(reactor);
+  RawServer server(reactor);
+  struct User final : StreamUser {
+    void opened() override { stream->write(std::string(8'000'000, 'x')); }
+    void arrived(std::string_view) override {}
+    void drained() override { ++drains; }
+    void lost(Loss) override {}
+    std::shared_ptr<Stream> stream;
+    int drains = 0;
+  } user;
+  user.stream = Stream::connect(reactor, numeric_address(server.address()), user);
+  ASSERT_TRUE(pump.until([&] { return !server.peers.empty(); }));
+  server.peers.front()->stream->read(false);
+  pump.pass(500);
+  EXPECT_GT(user.stream->waiting(), 0U);
+  EXPECT_EQ(user.drains, 0);
+  server.peers.front()->stream->read(true);
+  ASSERT_TRUE(pump.until([&] { return user.drains == 1; }));
+  ASSERT_TRUE(pump.until([&] { return server.peers.front()->seen.size() == 8'000'000; }));
+  user.stream->close();
+}
+
+}  // namespace
+}  // namespace rushhill::transport
