--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -1,6 +1,8 @@
 // The command line. Exit codes: 0 good; 1 a rule broken or an event not honoured, where that was asked; 2
 // wrong use, or a file that is refused; 3 events still open at the end; 4 something could not be opened or
 // reached.
+#include <sys/resource.h>
+
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <fstream>
@@ -12,6 +14,8 @@
 #include "command/serve.h"
 #include "deployment/deployment_file.h"
 #include "lab/badday.h"
+#include "lab/bench.h"
+#include "lab/pump.h"
 #include "standin/clients.h"
 #include "standin/fleet.h"
 #include "standin/roster_board.h"
@@ -90,6 +94,46 @@
   return 0;
 }
 
+struct BenchEnds {
+  int ports = 1, seconds = 3;
+  std::int64_t answers = -1;
+  lab::Pumping how;
+  std::vector<std::string> to;
+};
+
+int echo(BenchEnds ends) {
+  transport::Reactor reactor;
+  std::vector<std::unique_ptr<lab::Echo>> all;
+  std::string line = "ready";
+  for (int i = 0; i < ends.ports; ++i) {
+    all.push_back(
+        std::make_unique<lab::Echo>(reactor, transport::numeric_address("127.0.0.1:0"), ends.answers));
+    line += " " + all.back()->address().toString();
+  }
+  std::cout << line << std::endl;
+  run(reactor);
+  return 0;
+}
+
+int pump(BenchEnds ends) {
+  transport::Reactor reactor;
+  std::vector<transport::Address> to;
+  for (const std::string& one : ends.to) to.push_back(transport::numeric_address(one));
+  ends.how.span = Time{10'000} * ends.seconds;
+  lab::Pump pump(reactor, to, ends.how);
+  pump.run();
+  std::cout << "ready " << lab::as_json(pump.result()) << std::endl;
+  return 0;
+}
+
+// As many descriptors as the system lets an ordinary user have.
+void raise_descriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int check(const std::string& path) {
   const deployment::Program program = deployment::read_file(path);
   for (const std::string& line : program.in_force) std::cout << line << '\n';
@@ -128,6 +172,26 @@
   common(on_clients);
   on_clients->add_option("--router", part.routers, "a router's address; may be given again")->required();
 
+  BenchEnds ends;
+  auto* on_echo = on_standin->add_subcommand("echo", "the bench's server: answers at once");
+  on_echo->add_option("--ports", ends.ports, "ports to listen on")->check(CLI::Range(1, 1000));
+  on_echo->add_option("--answers", ends.answers, "answer so many and no more; below 0: all");
+  auto* on_pump = on_standin->add_subcommand("pump", "the bench's client: keeps connections busy");
+  on_pump->add_option("--to", ends.to, "an address; may be given again")->required();
+  on_pump->add_option("--connections", ends.how.connections, "connections")->check(CLI::Range(1, 100'000));
+  on_pump->add_option("--rate", ends.how.rate,
+                      "requests a second at their own moments; 0: as fast as answered");
+  on_pump->add_option("--seconds", ends.seconds, "how long")->check(CLI::Range(1, 3600));
+  on_pump->add_option("--batch", ends.how.batch, "events in a request")->check(CLI::Range(0, 10'000));
+
+  lab::Bench bench;
+  auto* on_bench =
+      app.add_subcommand("bench", "measure what the router adds, and its memory; about a minute");
+  on_bench->add_option("--seconds", bench.seconds, "of each measurement")->check(CLI::Range(1, 600));
+  on_bench->add_option("--connections", bench.connections, "of the client")->check(CLI::Range(1, 10'000));
+  on_bench->add_option("--processes", bench.processes, "routers on one port")->check(CLI::Range(1, 64));
+  on_bench->add_flag("!--no-memory", bench.memory, "leave out the memory with 10,000 and 50,000 events open");
+
   Sending sending;
   auto* on_send = app.add_subcommand("send", "send one event by hand and print its answer");
   on_send->add_option("--to", sending.to, "the router's address")->required();
@@ -161,12 +225,16 @@
   } catch (const CLI::ParseError& wrong) {
     return app.exit(wrong) == 0 ? 0 : 2;
   }
+  raise_descriptors();
   if (on_version->parsed()) std::cout << "rushhill " << version << '\n';
   if (on_serve->parsed()) return serve(deployment::read_file(file), tally);
   if (on_check->parsed()) return check(file);
   if (on_roster->parsed()) return roster(part);
   if (on_servers->parsed()) return servers(part);
   if (on_clients->parsed()) return clients(part);
+  if (on_echo->parsed()) return echo(ends);
+  if (on_pump->parsed()) return pump(ends);
+  if (on_bench->parsed()) return lab::bench(bench);
   if (on_send->parsed()) return send(sending);
   if (on_badday->parsed()) return lab::play(bad_day);
   if (on_judge->parsed()) return lab::judge(bad_day);
--- a/src/lab/processes.h
+++ b/src/lab/processes.h
@@ -26,6 +26,7 @@
   void ask_to_end();
   // Its exit code; -1 where a signal ended it. Kills it after so many seconds.
   int wait(int seconds);
+  pid_t id() const { return id_; }
   const std::string& name() const { return name_; }
 
  private:
--- /dev/null
+++ b/src/lab/pump.cpp
@@ -0,0 +1,185 @@
+#include "lab/pump.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "events/cloudevent.h"
+#include "transport/http.h"
+
+namespace rushhill::lab {
+namespace {
+
+// Takes one whole HTTP message off the front, by its Content-Length; false: more is needed.
+bool take_message(std::string& buffer) {
+  const std::size_t head = buffer.find("\r\n\r\n");
+  if (head == std::string::npos) return false;
+  std::size_t length = 0;
+  for (std::size_t at = buffer.find("\r\n"); at < head; at = buffer.find("\r\n", at + 2)) {
+    constexpr std::string_view name = "content-length: ";
+    const std::string_view field = std::string_view(buffer).substr(at + 2, name.size());
+    const bool same = std::ranges::equal(
+        field, name, [](char a, char b) { return a == b || (a >= 'A' && a <= 'Z' && a + 32 == b); });
+    if (same) std::from_chars(buffer.data() + at + 2 + name.size(), buffer.data() + head, length);
+  }
+  if (buffer.size() < head + 4 + length) return false;
+  buffer.erase(0, head + 4 + length);
+  return true;
+}
+
+std::string prepared_answer() {
+  const events::CloudEvent reply{
+      .id = "r", .source = "/echo", .type = "echo.reply", .data_content_type = "application/json"};
+  transport::HttpResponse response{.headers = events::to_headers(reply), .body = "{\"answer\":42}"};
+  response.headers.emplace_back("rushhill-copy", "found");
+  response.headers.emplace_back("endpoint-load-metrics", "TEXT cpu_utilization=0.3");
+  return to_bytes(response);
+}
+
+}  // namespace
+
+class Echo::Caller final : public transport::StreamUser {
+ public:
+  Caller(Echo& echo, const Poco::Net::StreamSocket& socket) : echo_(echo) {
+    stream_ = transport::Stream::adopt(echo.reactor_, socket, *this);
+  }
+  ~Caller() override { stream_->close(); }
+  void arrived(std::string_view bytes) override {
+    static const std::string answer = prepared_answer();
+    in_ += bytes;
+    while (take_message(in_)) {
+      if (echo_.left_ == 0) continue;
+      if (echo_.left_ > 0) --echo_.left_;
+      stream_->write(answer);
+    }
+  }
+  void lost(transport::Loss) override {
+    const auto it = echo_.callers_.find(this);
+    echo_.reactor_.soon([gone = it->second] {});
+    echo_.callers_.erase(it);
+  }
+
+ private:
+  Echo& echo_;
+  std::shared_ptr<transport::Stream> stream_;
+  std::string in_;
+};
+
+Echo::Echo(transport::Reactor& reactor, const transport::Address& address, std::int64_t& left)
+    : reactor_(reactor), left_(left), listener_(reactor, address, true, [this](const auto& socket) {
+        const auto caller = std::make_shared<Caller>(*this, socket);
+        callers_.emplace(caller.get(), caller);
+      }) {}
+Echo::~Echo() = default;
+
+class Pump::Line final : public transport::StreamUser {
+ public:
+  Line(Pump& pump, const transport::Address& to) : pump_(pump) {
+    stream = transport::Stream::connect(pump.reactor_, to, *this);
+  }
+  ~Line() override { stream->close(); }
+  void opened() override { pump_.answered(*this); }
+  void arrived(std::string_view bytes) override {
+    in_ += bytes;
+    if (take_message(in_)) pump_.answered(*this);
+  }
+  void lost(transport::Loss) override { pump_.broken(*this); }
+
+  std::shared_ptr<transport::Stream> stream;
+  std::int64_t intended = 0;  // of the request that is out; 0: none
+
+ private:
+  Pump& pump_;
+  std::string in_;
+};
+
+Pump::Pump(transport::Reactor& reactor, std::vector<transport::Address> to, const Pumping& how)
+    : reactor_(reactor), to_(std::move(to)), how_(how) {
+  for (int i = 0; i < how.functions; ++i) {
+    events::CloudEvent event{.id = "e", .source = "/pump", .type = "lookup"};
+    event.others = {{"function", "f-" + std::to_string(i)}, {"lanes", "1000"}};
+    transport::HttpRequest request{.method = "POST", .target = "/"};
+    if (how.batch == 0) {
+      request.headers = events::to_headers(event);
+    } else {
+      request.headers = {{"content-type", "application/cloudevents-batch+json"}};
+      request.body = "[";
+      for (int k = 0; k < how.batch; ++k) request.body += (k > 0 ? "," : "") + events::to_json(event);
+      request.body += "]";
+    }
+    request.headers.emplace_back("host", "bench");
+    requests_.push_back(to_bytes(request));
+  }
+}
+Pump::~Pump() = default;
+
+void Pump::run() {
+  began_ = transport::monotonic_ns();
+  ends_ = reactor_.now() + how_.span;
+  count_from_ = began_ + how_.span * 20'000;  // a fifth of the span, in nanoseconds
+  next_ = began_;
+  for (int i = 0; i < how_.connections; ++i)
+    lines_.push_back(std::make_shared<Line>(*this, to_[static_cast<std::size_t>(i) % to_.size()]));
+  if (how_.rate > 0) pace();
+  reactor_.at(ends_, [this] {
+    result_.seconds = static_cast<double>(transport::monotonic_ns() - count_from_) / 1e9;
+    reactor_.halt();
+  });
+  reactor_.run();
+}
+
+// The moments that have come: each goes out now, or waits for a connection, and counts from its own moment.
+void Pump::pace() {
+  const std::int64_t now = transport::monotonic_ns();
+  const auto step = static_cast<std::int64_t>(1e9 / how_.rate);
+  for (; next_ <= now; next_ += step) late_.push_back(next_);
+  std::size_t used = 0;
+  while (used < late_.size() && !idle_.empty()) {
+    Line* line = idle_.back();
+    idle_.pop_back();
+    send(*line, late_[used++]);
+  }
+  late_.erase(late_.begin(), late_.begin() + static_cast<std::ptrdiff_t>(used));
+  reactor_.soon([this] { pace(); });  // turning without rest: a client's own delay must not count
+}
+
+void Pump::send(Line& line, std::int64_t intended_ns) {
+  line.intended = intended_ns;
+  line.stream->write(requests_[static_cast<std::size_t>(sent_++) % requests_.size()]);
+}
+
+void Pump::answered(Line& line) {
+  const std::int64_t now = transport::monotonic_ns();
+  if (line.intended != 0 && line.intended >= count_from_) {
+    ++result_.answered;
+    result_.latencies_us.push_back(static_cast<double>(now - line.intended) / 1e3);
+  }
+  line.intended = 0;
+  if (how_.rate <= 0) return send(line, now);
+  if (late_.empty()) return idle_.push_back(&line);
+  const std::int64_t oldest = late_.front();
+  late_.erase(late_.begin());
+  send(line, oldest);
+}
+
+void Pump::broken(Line& line) {
+  ++result_.failed;
+  std::erase(idle_, &line);
+}
+
+std::string as_json(const Pumped& result) {
+  std::vector<double> sorted = result.latencies_us;
+  std::ranges::sort(sorted);
+  const auto at = [&](double share) {
+    return sorted.empty() ? 0
+                          : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+  };
+  return nlohmann::json{{"answered", result.answered},
+                        {"failed", result.failed},
+                        {"per_second", static_cast<double>(result.answered) / std::max(result.seconds, 1e-9)},
+                        {"median_us", at(0.5)},
+                        {"p99_us", at(0.99)}}
+      .dump();
+}
+
+}  // namespace rushhill::lab
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -92,30 +92,37 @@
   return parser;
 }
 
-HttpRequestReader::HttpRequestReader(HttpBounds bounds) : bounds_(bounds), parser_(fresh<Parser>(bounds)) {}
+HttpRequestReader::HttpRequestReader(HttpBounds bounds) : bounds_(bounds) {}
 HttpRequestReader::~HttpRequestReader() = default;
-HttpProgress HttpRequestReader::put(std::string& buffer) { return put_into(*parser_, buffer, bounds_.body); }
-bool HttpRequestReader::head_done() const { return parser_->is_header_done(); }
+HttpProgress HttpRequestReader::put(std::string& buffer) {
+  if (!parser_) parser_ = fresh<Parser>(bounds_);
+  return put_into(*parser_, buffer, bounds_.body);
+}
+bool HttpRequestReader::head_done() const { return parser_ && parser_->is_header_done(); }
 bool HttpRequestReader::wants_continue() const {
-  return parser_->is_header_done() && !parser_->is_done() && parser_->get().body().empty() &&
+  return head_done() && !parser_->is_done() && parser_->get().body().empty() &&
          boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
 }
 HttpRequest HttpRequestReader::take() {
-  auto message = std::exchange(parser_, fresh<Parser>(bounds_))->release();
+  auto message = std::exchange(parser_, nullptr)->release();
   return {std::string(message.method_string()), std::string(message.target()), lowered(message.base()),
           std::move(message.body()), message.keep_alive()};
 }
 
-HttpResponseReader::HttpResponseReader(HttpBounds bounds) : bounds_(bounds), parser_(fresh<Parser>(bounds)) {}
+HttpResponseReader::HttpResponseReader(HttpBounds bounds) : bounds_(bounds) {}
 HttpResponseReader::~HttpResponseReader() = default;
-HttpProgress HttpResponseReader::put(std::string& buffer) { return put_into(*parser_, buffer, bounds_.body); }
+HttpProgress HttpResponseReader::put(std::string& buffer) {
+  if (!parser_) parser_ = fresh<Parser>(bounds_);
+  return put_into(*parser_, buffer, bounds_.body);
+}
 HttpProgress HttpResponseReader::end() {
   boost::system::error_code error;
+  if (!parser_) return HttpProgress::bad;
   if (parser_->is_header_done() && !parser_->is_done()) parser_->put_eof(error);
   return !error && parser_->is_done() ? HttpProgress::done : HttpProgress::bad;
 }
 HttpResponse HttpResponseReader::take() {
-  auto message = std::exchange(parser_, fresh<Parser>(bounds_))->release();
+  auto message = std::exchange(parser_, nullptr)->release();
   return {static_cast<int>(message.result_int()), lowered(message.base()), std::move(message.body()),
           message.keep_alive()};
 }
--- a/src/transport/reactor.cpp
+++ b/src/transport/reactor.cpp
@@ -181,6 +181,7 @@
     out_.erase(0, static_cast<std::size_t>(sent));
     if (part < out_.size() && part < reactor_.buffer_.size()) break;  // a small part at a time, for tests
   }
+  if (out_.empty()) out_ = {};  // an idle stream holds no memory for what it has sent
   want_writable(!out_.empty());
   if (out_.empty() && finishing_) ::shutdown(descriptor(socket_), SHUT_WR);
 }
