--- a/src/deployment/deployment_file.cpp
+++ b/src/deployment/deployment_file.cpp
@@ -285,7 +285,8 @@
         kind_memory(program, section, of, written);
       } else if (section == "peers") {
         peers(program, written);
-      } else if (std::ranges::none_of(keys(), [&](const auto& key) { return section == key.section; })) {
+      } else if (std::ranges::none_of(keys(),
+                                      [&, &of = section](const auto& key) { return of == key.section; })) {
         fault(line, "[" + section + "]",
               "is none of router, rules, permissions, functions, servers, http, roster, peers, log, "
               "traffic NAME, customer NAME, kind NAME");
@@ -391,8 +392,8 @@
       }
     }
     for (const auto& [key, value] : written) {
-      const bool known = std::ranges::any_of(table, [&](const Key<Target>& row) {
-        return key == row.name && (only == nullptr || std::string_view(only) == row.section);
+      const bool known = std::ranges::any_of(table, [&, &name_is = key](const Key<Target>& row) {
+        return name_is == row.name && (only == nullptr || std::string_view(only) == row.section);
       });
       const bool peer = section == "peers" && key.starts_with("router-");
       if (!known && !peer) fault(value.line, key, "is no key of [" + section + "]");
--- a/src/standin/clients.cpp
+++ b/src/standin/clients.cpp
@@ -233,8 +233,10 @@
 
 void Clients::end(Event& event, const char* outcome) {
   reactor_.withdraw(event.alarm);
-  event.current["ended"] = monotonic_ns();
-  event.tries.push_back(event.current);
+  if (event.current.contains("router")) {
+    event.current["ended"] = monotonic_ns();
+    event.tries.push_back(event.current);
+  }
   event.line["ended"] = monotonic_ns();
   event.line["outcome"] = outcome;
   event.line["tries"] = event.tries;
--- a/src/transport/reactor.h
+++ b/src/transport/reactor.h
@@ -32,8 +32,8 @@
  public:
   Reactor();
 
-  void run();   // until stop()
-  void halt();  // from a handler, or from a signal's handler
+  void run() override;  // until halt()
+  void halt();          // from a handler, or from a signal's handler
 
   Time now() const override;
   core::Alarm at(Time when, Call call) override;
--- a/src/transport/server_pool.cpp
+++ b/src/transport/server_pool.cpp
@@ -262,6 +262,11 @@
   return it == link.server().links.end() ? nullptr : it->second;
 }
 
+std::string ServerPool::address(const ServerId& id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? "" : it->second->address_text;
+}
+
 void ServerPool::forget(Link& link) {
   Server& server = link.server();
   std::erase(server.idle, &link);
--- a/src/transport/server_pool.h
+++ b/src/transport/server_pool.h
@@ -45,6 +45,8 @@
   void reach(const ServerId& server, const std::string& address) override;
 
   std::size_t connections() const;
+  // Where a server is reached now; empty: nowhere.
+  std::string address(const ServerId& server) const;
 
  private:
   class Link;
--- a/tests/core/gateway_test.cpp
+++ b/tests/core/gateway_test.cpp
@@ -188,7 +188,8 @@
     start();
     event("booking");
     end(0, ending);
-    ASSERT_EQ(told.shots.size(), 2U) << static_cast<int>(ending) << (told.answers.empty() ? "" : told.answers[0]);
+    ASSERT_EQ(told.shots.size(), 2U) << static_cast<int>(ending)
+                                     << (told.answers.empty() ? "" : told.answers[0]);
     EXPECT_TRUE(told.answers.empty());
     end(1, Ending::honoured);
     EXPECT_EQ(told.answers, std::vector<std::string>{"honoured"});
@@ -250,6 +251,28 @@
   EXPECT_EQ(told.shots.size(), 2U);
 }
 
+TEST_F(GatewayStory, AShotWithItsOwnTimeOutEndsThenAndTheServerIsNotHeardAnyMore) {
+  start();
+  const EventId id = event();
+  end(0, Ending::turned_away);
+  const std::size_t shots = told.shots.size();
+  static_cast<Host&>(*gateway).shoot(id, "c", second / 10);
+  clock.pass(second / 10);
+  EXPECT_EQ(told.dropped.back(), std::pair(id, static_cast<int>(shots)));
+  EXPECT_EQ(gateway->tally().endings[static_cast<std::size_t>(Ending::no_answer)], 1U);
+}
+
+TEST_F(GatewayStory, AShotForAnEventThatHasItsAnswerIsNeverSent) {
+  start();
+  const EventId id = event();
+  static_cast<Host&>(*gateway).shed(id, 0);
+  const std::size_t shots = told.shots.size();
+  static_cast<Host&>(*gateway).shoot(id, "c", 0);
+  clock.settle();
+  EXPECT_EQ(told.shots.size(), shots);
+  EXPECT_EQ(gateway->tally().endings[static_cast<std::size_t>(Ending::not_sent)], 1U);
+}
+
 TEST_F(GatewayStory, ServersThatLeaveTheListAreReachedNoMore) {
   start();
   gateway->roster(RosterForm::complete, {{{.id = "b"}, "127.0.0.1:9001"}});
--- a/tests/router/router_test.cpp
+++ b/tests/router/router_test.cpp
@@ -42,14 +42,20 @@
                                                    *record);
     fleet = std::make_unique<standin::Fleet>(reactor, day, *record);
     fleet->announce_to(board->address());
-    pump.pass(300);
+    pump.pass(100);
     const std::string text =
         standin::deployment_of(day, 0, "127.0.0.1:0", board->address().toString(), "", {});
     router = std::make_unique<router::RouterProcess>(reactor, deployment::read_text("f", text), 3, silent);
+    for (const auto& server : day.servers)
+      EXPECT_TRUE(reached_at(server.id, fleet->address(server.id).toString()));
     pump.pass(300);
   }
   ~Scene() { std::remove(file.c_str()); }
 
+  bool reached_at(const std::string& server, const std::string& address) {
+    return pump.until([&] { return router->pool().address(server) == address; });
+  }
+
   void play() {
     bool over = false;
     standin::Clients clients(reactor, day, {router->address()}, *record, [&] { over = true; });
@@ -137,7 +143,8 @@
   nlohmann::json entry = nlohmann::json::parse(scene.fleet->entry(scene.day.servers[0].id));
   entry["address"] = scene.fleet->address(scene.day.servers[1].id).toString();
   scene.board->tell_now({{"form", "changes"}, {"revision", 9}, {"servers", nlohmann::json::array({entry})}});
-  scene.pump.pass(300);
+  ASSERT_TRUE(
+      scene.reached_at(scene.day.servers[0].id, scene.fleet->address(scene.day.servers[1].id).toString()));
   scene.play();
   EXPECT_TRUE(scene.verdict.good()) << checker::as_text(scene.verdict);
   int misdirected = 0;
--- a/tests/transport/server_pool_test.cpp
+++ b/tests/transport/server_pool_test.cpp
@@ -251,6 +251,29 @@
   EXPECT_TRUE(named);
 }
 
+TEST_F(PoolStory, UnloadingIsSaidAndItsAnswerTellsNobody) {
+  server.on_bytes = [&](RawPeer& peer) {
+    peer.stream->write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+  };
+  pool.unload("a", "f");
+  ASSERT_TRUE(pump.until([&] { return !server.peers.empty() && !server.peers.front()->seen.empty(); }));
+  EXPECT_TRUE(server.peers.front()->seen.starts_with("POST /v2/repository/models/f/unload "));
+  pump.pass(200);
+  EXPECT_TRUE(ends.orders.empty() && ends.shots.empty());
+  pool.close_idle("a");
+  EXPECT_EQ(pool.connections(), 0U);
+}
+
+TEST_F(PoolStory, AnEnquiryOrdersNothing) {
+  server.on_bytes = [&](RawPeer& peer) {
+    peer.stream->write("HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n[{\"name\":\"f\",\"copies\":2}]");
+  };
+  pool.order("a", "f", 0, 50'000);
+  ASSERT_TRUE(pump.until([&] { return !ends.orders.empty(); }));
+  EXPECT_EQ(ends.copies, 2);
+  EXPECT_TRUE(server.peers.front()->seen.starts_with("POST /v2/repository/index "));
+}
+
 TEST_F(PoolStory, AnOrderTellsTheCopiesThatStand) {
   server.on_bytes = [&](RawPeer& peer) {
     peer.stream->write("HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{\"copies\":3}");
