MQTT triggers: a second front whose acknowledgements carry the final outcome

Need: functions are called by messages on topics as by HTTP, under the same rules and with nothing decided twice.

Change: packages mqtt (packets of 3.1.1 and 5, I/O-free) and taking (weighted shares between sources of events, what is remembered of messages that come again); the MQTT front, a session a topic rule; the core takes events by source; a broker's stand-in with sessions, QoS 0 to 2, retained, shared subscriptions, will, expiry, receive maximum and faults. libmosquitto and Paho acknowledge when the callback returns, hence packets of our own.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -6,9 +6,10 @@
 namespace rushhill::core {
 namespace {
 
-constexpr std::size_t most_peer_bytes = 256;     // bytes; what one message to a peer may hold
-constexpr std::uint64_t id_space = 1ULL << 51U;  // ids start anywhere below, so that routers' ids differ
-constexpr Time probe_limit = 10'000;             // tenths of a millisecond; a report older than that is none
+constexpr std::size_t most_peer_bytes = 256;      // bytes; what one message to a peer may hold
+constexpr std::uint64_t id_space = 1ULL << 51U;   // ids start anywhere below, so that routers' ids differ
+constexpr std::size_t unlimited = 1'000'000'000;  // events; where no cap is told
+constexpr Time probe_limit = 10'000;              // tenths of a millisecond; a report older than that is none
 
 std::size_t index(Ending ending) { return static_cast<std::size_t>(ending); }
 
@@ -30,7 +31,8 @@
 
 Gateway::Gateway(const Deployment& deployment, std::uint64_t seed, const Ports& ports)
     : deployment_(deployment), to_(ports), router_(make_router(deployment, seed, *this)),
-      next_(static_cast<EventId>(spread(seed) % id_space) + 1) {}
+      next_(static_cast<EventId>(spread(seed) % id_space) + 1),
+      shares_(deployment.open_cap > 0 ? static_cast<std::size_t>(deployment.open_cap) : unlimited) {}
 
 Gateway::~Gateway() {
   for (auto& [id, open] : open_) {
@@ -53,8 +55,14 @@
   });
 }
 
-std::optional<EventId> Gateway::take(Client& client, Event told, events::CloudEvent message) {
-  if (deployment_.open_cap > 0 && unanswered_ >= static_cast<std::size_t>(deployment_.open_cap)) {
+Effect Gateway::effect_of(const std::string& traffic_type) const {
+  const auto it = std::ranges::find(deployment_.traffic_types, traffic_type, &TrafficType::name);
+  return it == deployment_.traffic_types.end() ? Effect::at_most_once : it->effect;
+}
+
+std::optional<EventId> Gateway::take(taking::Shares::Source source, Client& client, Event told,
+                                     events::CloudEvent message) {
+  if (!shares_.may_take(source)) {
     ++tally_.refused;
     return std::nullopt;
   }
@@ -66,7 +74,8 @@
   open.taken = to_.clock.now();
   open.limit = open.taken + told.left;
   open.at_limit = to_.clock.at(open.limit, [this, id] { expire(id); });
-  ++unanswered_;
+  open.source = source;
+  shares_.took(source);
   ++tally_.taken;
   decide([&](Router& router, Time now) { router.event(now, told); });
   return id;
@@ -84,7 +93,7 @@
 
 // From here on the event only waits for the ends of its shots.
 void Gateway::conclude(EventId event, Open& open, const char* outcome) {
-  --unanswered_;
+  shares_.ended(open.source);
   open.concluded = true;
   soon([this, event] { drop_if_over(event); });
   if (!to_.diary.wants(Level::debug)) return;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -12,6 +12,7 @@
 #include "core/clockwork.h"
 #include "core/ports.h"
 #include "decide.h"
+#include "taking/shares.h"
 
 namespace rushhill::core {
 
@@ -34,15 +35,22 @@
   Gateway(const Deployment& deployment, std::uint64_t seed, const Ports& ports);
   ~Gateway() override;
 
+  // A front, or a part of one, that takes events; its weight beside the others' when there is not room for
+  // all.
+  taking::Shares::Source add_source(double weight) { return shares_.add(weight); }
+  bool has_room(taking::Shares::Source source) const { return shares_.may_take(source); }
+  Effect effect_of(const std::string& traffic_type) const;
+
   // An event whose function, type and times the front has read; `told.id` and, where 0, `told.left` are set
-  // here. Nothing: as many are open as the deployment permits. The answer never comes before this returns.
-  std::optional<EventId> take(Client& client, Event told, events::CloudEvent message);
+  // here. Nothing: the source has no room. The answer never comes before this returns.
+  std::optional<EventId> take(taking::Shares::Source source, Client& client, Event told,
+                              events::CloudEvent message);
   void client_gone(EventId event);
 
   void roster(RosterForm form, const std::vector<RosterEntry>& entries);
   void peer_told(int router, const std::string& bytes);
 
-  std::size_t open() const { return unanswered_; }
+  std::size_t open() const { return shares_.open(); }
   const Tally& tally() const { return tally_; }
   std::int64_t module_ns() const { return module_ns_; }
   const Deployment& deployment() const { return deployment_; }
@@ -60,6 +68,7 @@
     Alarm time_out{};
   };
   struct Open {
+    taking::Shares::Source source = 0;
     Client* client = nullptr;  // none: it has been handed its final answer, or its client has gone
     bool concluded = false;
     events::CloudEvent message;
@@ -102,7 +111,7 @@
   std::map<std::pair<ServerId, FunctionId>, std::vector<Time>> orders_out_;
   std::map<ServerId, std::vector<Time>> probes_out_;
   EventId next_ = 1;
-  std::size_t unanswered_ = 0;
+  taking::Shares shares_;
   std::int64_t module_ns_ = 0;
   Tally tally_;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
--- a/src/deployment/deployment_file.cpp
+++ b/src/deployment/deployment_file.cpp
@@ -195,6 +195,24 @@
       {"http", "request-within", "10s", [](P& p, S v) { p.http.head_within = time_above_0(v); }},
       {"http", "idle", "60s", [](P& p, S v) { p.http.idle = time_above_0(v); }},
       {"http", "wind-up", "5s", [](P& p, S v) { p.http.wind_up = time(v); }},
+      {"http", "weight", "1", [](P& p, S v) { p.http.weight = number_in(v, 0.001, 1000); }},
+      {"mqtt", "address", "", [](P& p, S v) { p.mqtt.address = where_or_none(v); }},
+      {"mqtt", "client", "rushhill", [](P& p, S v) { p.mqtt.client = name(v); }},
+      {"mqtt", "version", "5",
+       [](P& p, S v) {
+         p.mqtt.version = word<int>(v, {{"5", 5}, {"3.1.1", 4}});
+       }},
+      {"mqtt", "in-flight", "200",
+       [](P& p, S v) { p.mqtt.in_flight = static_cast<int>(whole_in(v, 1, 65'535)); }},
+      {"mqtt", "keep-alive", "30s", [](P& p, S v) { p.mqtt.keep_alive = time(v); }},
+      {"mqtt", "session", "1h", [](P& p, S v) { p.mqtt.session = time(v); }},
+      {"mqtt", "remember", "60s", [](P& p, S v) { p.mqtt.remember = time_above_0(v); }},
+      {"mqtt", "retry", "500ms", [](P& p, S v) { p.mqtt.retry = time_above_0(v); }},
+      {"mqtt", "dead-letter", "rushhill/dead-letter",
+       [](P& p, S v) {
+         if (!v.empty() && !mqtt::topic_valid(v)) throw Fault("'" + v + "' is no topic");
+         p.mqtt.dead_letter = v;
+       }},
       {"roster", "address", "", [](P& p, S v) { p.roster.address = where_or_none(v); }},
       {"roster", "remembered", "", [](P& p, S v) { p.roster.remembered = v; }},
       {"roster", "retry", "500ms", [](P& p, S v) { p.roster.retry = time_above_0(v); }},
@@ -255,6 +273,26 @@
   return all;
 }
 
+const std::vector<Key<MqttTopic>>& topic_keys() {
+  using T = MqttTopic;
+  using S = const std::string&;
+  static const std::vector<Key<MqttTopic>> all{
+      {"mqtt-topic", "filter", nullptr,
+       [](T& t, S v) {
+         if (!mqtt::filter_valid(v) || v.starts_with("$share/"))
+           throw Fault("'" + v + "' is no topic filter; a shared subscription is written with group");
+         t.filter = v;
+       }},
+      {"mqtt-topic", "group", "", [](T& t, S v) { t.group = v.empty() ? v : name(v); }},
+      {"mqtt-topic", "qos", "1", [](T& t, S v) { t.qos = static_cast<int>(whole_in(v, 0, 2)); }},
+      {"mqtt-topic", "event-type", "", [](T& t, S v) { t.event_type = v; }},
+      {"mqtt-topic", "function", "", [](T& t, S v) { t.function = v; }},
+      {"mqtt-topic", "customer", "", [](T& t, S v) { t.customer = v; }},
+      {"mqtt-topic", "weight", "1", [](T& t, S v) { t.weight = number_in(v, 0.001, 1000); }},
+  };
+  return all;
+}
+
 struct Written {
   std::string value;
   int line = 0;
@@ -280,6 +318,11 @@
         customer.name = named(line, section, gap);
         fill(section, line, customer_keys(), customer, written, program);
         program.module.customers.push_back(customer);
+      } else if (gap != std::string::npos && kind == "mqtt-topic") {
+        MqttTopic topic;
+        topic.name = named(line, section, gap);
+        fill(section, line, topic_keys(), topic, written, program);
+        program.mqtt.topics.push_back(topic);
       } else if (gap != std::string::npos && kind == "kind") {
         const std::string of = named(line, section, gap);
         kind_memory(program, section, of, written);
@@ -288,8 +331,8 @@
       } else if (std::ranges::none_of(keys(),
                                       [&, &of = section](const auto& key) { return of == key.section; })) {
         fault(line, "[" + section + "]",
-              "is none of router, rules, permissions, functions, servers, http, roster, peers, log, "
-              "traffic NAME, customer NAME, kind NAME");
+              "is none of router, rules, permissions, functions, servers, http, mqtt, roster, peers, log, "
+              "traffic NAME, customer NAME, kind NAME, mqtt-topic NAME");
       }
     }
     if (faults_.empty()) together(program);
@@ -490,6 +533,10 @@
             "is miss, but without orders nothing would ever be loaded");
     if (d.reports == "probe" && !d.probing)
       fault(line_of("servers", "reports"), "reports", "come with probes, but [permissions] probing is no");
+    if (!program.mqtt.topics.empty() && program.mqtt.address.empty())
+      fault(line_of("mqtt", "address"), "address", "of the broker is missing in [mqtt], but topics are told");
+    if (!program.mqtt.address.empty() && program.mqtt.topics.empty())
+      fault(line_of("mqtt", "address"), "address", "of a broker is told, but no [mqtt-topic NAME]");
     double shares = 0;
     for (const Customer& customer : d.customers) shares += customer.share;
     if (shares > 1.000001) fault(0, "[customer NAME] share", "of all customers is more than 1 together");
--- a/src/deployment/deployment_file.h
+++ b/src/deployment/deployment_file.h
@@ -9,6 +9,7 @@
 
 #include "core/ports.h"
 #include "decide.h"
+#include "mqtt/packets.h"
 
 namespace rushhill::deployment {
 
@@ -27,6 +28,7 @@
   int connections = 0;
   std::uint64_t body = 0;  // bytes
   int batch = 0;           // events
+  double weight = 1;       // beside the MQTT topics
   Time head_within = 0;    // from the first byte of a request to the last
   Time idle = 0;
   Time wind_up = 0;  // after a stop was asked for
@@ -48,6 +50,24 @@
   std::vector<std::string> addresses{};  // by router number; this router's own place is not used
 };
 
+// Which messages call which function: {1}, {2} in function and customer stand for the filter's wildcards.
+struct MqttTopic {
+  std::string name{}, filter{}, group{};  // of a shared subscription; empty: none
+  int qos = 1;
+  std::string event_type{}, function{}, customer{};  // empty: as the event tells
+  double weight = 1;
+};
+
+struct MqttLinks {
+  std::string address{};  // empty: no broker
+  std::string client{};
+  int version = 5;  // 4: 3.1.1
+  int in_flight = 0;
+  Time keep_alive = 0, session = 0, remember = 0, retry = 0;
+  std::string dead_letter{};
+  std::vector<MqttTopic> topics{};
+};
+
 // Everything that is told at start.
 struct Program {
   Deployment module{};
@@ -56,6 +76,7 @@
   ServerLinks links{};
   RosterLink roster{};
   PeerLinks peers{};
+  MqttLinks mqtt{};
   core::Level log_least = core::Level::info;
   bool log_json = false;
   std::map<std::string, std::string> type_of_event{};  // the event's type attribute to traffic type
--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -186,7 +186,7 @@
 
   void take_one(events::CloudEvent message) {
     Event told = front_.intake_.read(message);
-    const auto event = front_.gateway_.take(*this, std::move(told), std::move(message));
+    const auto event = front_.gateway_.take(front_.source_, *this, std::move(told), std::move(message));
     if (!event) return answer(crowded());
     places_[*event] = 0;
   }
@@ -203,7 +203,7 @@
       rows_.push_back({{"id", message.id}, {"source", message.source}});
       try {
         Event told = front_.intake_.read(message);
-        const auto event = front_.gateway_.take(*this, std::move(told), std::move(message));
+        const auto event = front_.gateway_.take(front_.source_, *this, std::move(told), std::move(message));
         if (event) {
           places_[*event] = row;
         } else {
@@ -293,7 +293,8 @@
 
 HttpFront::HttpFront(transport::Reactor& reactor, core::Gateway& gateway, const core::Intake& intake,
                      core::Diary& diary, const HttpRules& rules)
-    : reactor_(reactor), gateway_(gateway), intake_(intake), diary_(diary), rules_(rules) {}
+    : reactor_(reactor), gateway_(gateway), intake_(intake), diary_(diary), rules_(rules),
+      source_(gateway.add_source(rules.weight)) {}
 HttpFront::~HttpFront() {
   while (!connections_.empty()) forget(*connections_.begin()->first);
 }
--- a/src/fronts/http_front.h
+++ b/src/fronts/http_front.h
@@ -19,6 +19,7 @@
   int batch = 100;                   // events
   Time request_within = 100'000;     // tenths of a millisecond, from a request's first byte to its last
   Time idle = 600'000;               // between requests
+  double weight = 1;                 // beside other sources of events
   Time come_back = 0;                // told where as many events are open as permitted; 0: nothing told
 };
 
@@ -48,6 +49,7 @@
   const core::Intake& intake_;
   core::Diary& diary_;
   HttpRules rules_;
+  taking::Shares::Source source_;
   bool ready_ = false, winding_up_ = false;
   std::unique_ptr<transport::Listener> listener_;
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
--- /dev/null
+++ b/src/mqtt/packets.h
@@ -0,0 +1,93 @@
+// MQTT 3.1.1 and 5 control packets on bytes alone, from the public specifications.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace rushhill::mqtt {
+
+enum class Type : std::uint8_t {
+  connect = 1,
+  connack,
+  publish,
+  puback,
+  pubrec,
+  pubrel,
+  pubcomp,
+  subscribe,
+  suback,
+  unsubscribe,
+  unsuback,
+  pingreq,
+  pingresp,
+  disconnect,
+  auth
+};
+
+// Reason codes that this program gives or acts on.
+constexpr std::uint8_t success = 0x00, unspecified_error = 0x80, malformed = 0x81, protocol_error = 0x82,
+                       server_unavailable = 0x88, server_busy = 0x89, session_taken_over = 0x8E,
+                       packet_id_not_found = 0x92, receive_maximum_exceeded = 0x93, packet_too_large = 0x95,
+                       quota_exceeded = 0x97, payload_format_invalid = 0x99;
+
+// Of version 5; what is not there was not told.
+struct Properties {
+  std::optional<std::uint32_t> message_expiry{};  // seconds
+  std::optional<std::uint32_t> session_expiry{};  // seconds
+  std::optional<std::uint16_t> receive_maximum{};
+  std::optional<std::string> content_type{}, response_topic{}, correlation_data{}, reason{};
+  std::vector<std::pair<std::string, std::string>> user{};
+};
+
+struct Will {
+  std::string topic{}, payload{};
+  int qos = 0;
+  bool retain = false;
+};
+
+struct Packet {
+  Type type = Type::pingreq;
+  bool dup = false, retain = false;
+  int qos = 0;
+  std::uint16_t id = 0;
+  std::string topic{}, payload{};  // publish
+  std::string client_id{};         // connect
+  bool clean_start = true;
+  std::uint16_t keep_alive = 0;  // seconds
+  std::optional<Will> will{};
+  bool session_present = false;  // connack
+  std::uint8_t reason = success;
+  std::vector<std::pair<std::string, int>> filters{};  // subscribe, unsubscribe: filter and most QoS
+  std::vector<std::uint8_t> reasons{};                 // suback, unsuback
+  Properties properties{};
+};
+
+std::string encode(const Packet& packet, int version);  // 4: 3.1.1, 5
+
+enum class Progress { more, done, bad };
+
+// Takes one packet after another off the front of a growing buffer. A broker's reader learns the version from
+// the client's CONNECT.
+class Reader {
+ public:
+  Reader(int version, std::size_t longest) : version_(version), longest_(longest) {}
+  Progress put(std::string& buffer, Packet& packet);
+  int version() const { return version_; }
+  const std::string& fault() const { return fault_; }
+
+ private:
+  int version_;  // 0: not known yet
+  std::size_t longest_;
+  std::string fault_;
+};
+
+bool filter_valid(std::string_view filter);
+bool topic_valid(std::string_view topic);
+// Whether the topic fits; `levels` gets what each wildcard stood for, # as one.
+bool matches(std::string_view filter, std::string_view topic, std::vector<std::string>* levels = nullptr);
+
+}  // namespace rushhill::mqtt
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -85,11 +85,14 @@
               .batch = program.http.batch,
               .request_within = program.http.head_within,
               .idle = program.http.idle,
+              .weight = program.http.weight,
               .come_back = program.module.retry_advice ? program.module.longest_retry_advice : 0}) {
   pool_.report_to(gateway_);
   const membership::RosterWord recalled = recall(program.roster.remembered, diary);
   gateway_.roster(recalled.form, recalled.entries);
   if (roster_ && !program.module.roster_on_request) roster_->follow(true);
+  if (!program.mqtt.address.empty())
+    mqtt_ = std::make_unique<fronts::MqttFront>(reactor, gateway_, intake_, diary, program.mqtt, seed);
   const std::string& where = program.http.listen;
   address_ = where.starts_with("fd:") ? front_.listen_inherited(std::stoi(where.substr(3)))
                                       : front_.listen(transport::numeric_address(where), true);
@@ -114,6 +117,7 @@
   end_by_ = reactor_.now() + std::max<Time>(program_.http.wind_up, 1);
   diary_.line(Level::info, "winding up", {{"open", std::to_string(gateway_.open())}});
   front_.wind_up();
+  if (mqtt_) mqtt_->wind_up();
   wait_for_end(ended);
 }
 
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -10,6 +10,7 @@
 #include "core/intake.h"
 #include "deployment/deployment_file.h"
 #include "fronts/http_front.h"
+#include "fronts/mqtt_front.h"
 #include "membership/roster_client.h"
 #include "transport/peer_links.h"
 #include "transport/reactor.h"
@@ -29,6 +30,7 @@
   transport::Address address() const { return address_; }
   core::Gateway& gateway() { return gateway_; }
   transport::ServerPool& pool() { return pool_; }
+  fronts::MqttFront* mqtt() { return mqtt_.get(); }  // none: no broker
 
   // Takes nothing more and calls `ended` once nothing is open, or when the told time is up.
   void wind_up(std::function<void()> ended);
@@ -49,6 +51,7 @@
   core::Gateway gateway_;
   core::Intake intake_;
   fronts::HttpFront front_;
+  std::unique_ptr<fronts::MqttFront> mqtt_;
   transport::Address address_;
   Time end_by_ = 0;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
--- a/tests/core/gateway_test.cpp
+++ b/tests/core/gateway_test.cpp
@@ -81,6 +81,7 @@
  protected:
   void start(int servers = 3) {
     gateway = std::make_unique<Gateway>(deployment, 7, Gateway::Ports{clock, told, told, told, told});
+    source = gateway->add_source(1);
     std::vector<RosterEntry> entries;
     for (int i = 0; i < servers; ++i)
       entries.push_back(
@@ -89,7 +90,7 @@
   }
   EventId event(const std::string& type = "lookup") {
     const auto id = gateway->take(
-        told, {.traffic_type = type, .function = "f", .left = 2 * second, .load_time = second / 10},
+        source, told, {.traffic_type = type, .function = "f", .left = 2 * second, .load_time = second / 10},
         {.id = "one", .source = "/test", .type = type});
     return id.value_or(0);
   }
@@ -125,6 +126,7 @@
   HandClock clock;
   Told told;
   std::unique_ptr<Gateway> gateway;
+  taking::Shares::Source source = 0;
 };
 
 TEST_F(GatewayStory, AnAnswerInTheTickOfTheHardLimitComesTooLateAndOnlyOneAnswerLeaves) {
