--- a/src/checker/judge.cpp
+++ b/src/checker/judge.cpp
@@ -48,6 +48,8 @@
 struct Event {
   std::string id, type, outcome;
   Ns sent = 0, ended = 0, limit = 0;
+  bool by_broker = false;
+
   std::vector<Try> tries;
 };
 
@@ -64,7 +66,7 @@
 
 struct Type {
   std::string effect, group;
-  Ns due = 0, memory_span = 0;
+  Ns due = 0, memory_span = 0, hard_limit = 0;
 };
 
 class Court {
@@ -105,7 +107,8 @@
     for (const Json& type : day.at("types")) {
       types_[type.at("name").get<std::string>()] = {
           type.at("effect").get<std::string>(), type.at("group").get<std::string>(),
-          type.at("due").get<Ns>() * tenth, type.at("memory-span").get<Ns>() * tenth};
+          type.at("due").get<Ns>() * tenth, type.at("memory-span").get<Ns>() * tenth,
+          type.value("hard-limit", Ns{0}) * tenth};
     }
     for (const Json& server : day.at("servers")) {
       groups_[server.at("id").get<std::string>()] = {server.at("location").get<std::string>(),
@@ -123,12 +126,17 @@
       event.sent = record.at("sent").get<Ns>();
       event.ended = record.at("ended").get<Ns>();
       event.limit = record.at("limit_ms").get<Ns>() * ms;
+      event.by_broker = record.value("front", "") == "mqtt";
       for (const Json& one : record.at("tries")) {
         event.tries.push_back({one.at("router").get<int>(), one.at("sent").get<Ns>(), one.value("how", "")});
         if (event.tries.back().how != "no-connection")
           taken_[event.tries.back().router].push_back(event.tries.back().sent);
       }
       events_.push_back(std::move(event));
+    } else if (what == "delivered") {
+      delivered_[record.at("id").get<std::string>()].push_back(record.at("at").get<Ns>());
+    } else if (what == "repeated-answer") {
+      ++verdict_.repeated_answers;
     } else if (what == "extra") {
       extras_.push_back(record.at("id").get<std::string>());
     } else if (what == "shot" && record.contains("id")) {
@@ -190,7 +198,7 @@
   }
 
   const Type& type(const Event& event) const {
-    static const Type strictest{"at-most-once", "all", 0, 0};
+    static const Type strictest{"at-most-once", "all", 0, 0, 0};
     const auto it = types_.find(event.type);
     return it == types_.end() ? strictest : it->second;
   }
@@ -214,6 +222,13 @@
         check(rule, event.ended - event.sent <= event.limit,
               event.id + " was answered " + std::to_string((event.ended - event.sent) / ms) +
                   " ms after it was sent");
+      // A router's time for a message runs from when the broker last handed it over.
+      if (const auto it = delivered_.find(event.id); final && event.by_broker && it != delivered_.end()) {
+        const Ns taken = event.ended - *std::ranges::max_element(it->second);
+        check(rule, taken <= type(event).hard_limit,
+              event.id + " was answered " + std::to_string(taken / ms) + " ms after the broker sent it");
+        verdict_.redelivered += it->second.size() > 1 ? 1 : 0;
+      }
       for (const Shot& shot : shots(event.id)) {
         if (event.tries.empty() || shot.router != event.tries.back().router) continue;
         check(rule, shot.at <= event.ended + transit,
@@ -402,6 +417,7 @@
   std::map<std::string, std::pair<std::string, std::string>> groups_;  // location and cell
   std::vector<Event> events_;
   std::vector<std::string> extras_;
+  std::map<std::string, std::vector<Ns>> delivered_;  // when the broker handed a message over
   std::map<std::string, std::vector<Shot>> shots_;
   std::map<std::string, int> ran_;
   std::vector<Order> orders_;
@@ -443,8 +459,9 @@
   for (const auto& [outcome, count] : verdict.outcomes) out << "  " << outcome << ' ' << count;
   out << std::fixed << std::setprecision(3) << "\nin due time " << verdict.due_share
       << " of all, shots an event " << verdict.shots_an_event << ", orders " << verdict.orders
-      << std::setprecision(2) << "\nlatency of the honoured: median " << verdict.latency_median_ms
-      << " ms, 99th percentile " << verdict.latency_p99_ms
+      << ", messages delivered again " << verdict.redelivered << ", answers told again "
+      << verdict.repeated_answers << std::setprecision(2) << "\nlatency of the honoured: median "
+      << verdict.latency_median_ms << " ms, 99th percentile " << verdict.latency_p99_ms
       << " ms\nadded beside the server's own time: median " << verdict.added_median_ms
       << " ms, 99th percentile " << verdict.added_p99_ms << " ms\n";
   for (const auto& [name, rule] : verdict.rules) {
--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -16,6 +16,7 @@
 #include "lab/badday.h"
 #include "lab/bench.h"
 #include "lab/pump.h"
+#include "standin/broker.h"
 #include "standin/clients.h"
 #include "standin/fleet.h"
 #include "standin/roster_board.h"
@@ -37,7 +38,8 @@
 }
 
 struct StandinPart {
-  std::string day_file, record_file, start_file, roster, listen = "127.0.0.1:0";
+  std::string day_file, record_file, start_file, roster, broker, listen = "127.0.0.1:0";
+  double mqtt_share = 0;
   std::vector<std::string> routers;
 };
 
@@ -76,13 +78,27 @@
   return 0;
 }
 
+int broker(const StandinPart& part) {
+  const standin::Day day = standin::day_from_json(file_text(part.day_file));
+  standin::Record record(part.record_file);
+  transport::Reactor reactor;
+  standin::Broker all(reactor, transport::numeric_address(part.listen), record);
+  std::cout << "ready " << all.address().toString() << std::endl;
+  if (!part.start_file.empty())
+    standin::await_start(reactor, part.start_file, [&](Time start) { all.play(day, start); });
+  run(reactor);
+  record.flush();
+  return 0;
+}
+
 int clients(const StandinPart& part) {
   const standin::Day day = standin::day_from_json(file_text(part.day_file));
   standin::Record record(part.record_file);
   transport::Reactor reactor;
   std::vector<transport::Address> routers;
   for (const std::string& router : part.routers) routers.push_back(transport::numeric_address(router));
-  standin::Clients all(reactor, day, routers, record, [&] { reactor.halt(); });
+  standin::Clients all(
+      reactor, day, routers, record, [&] { reactor.halt(); }, part.broker, part.mqtt_share);
   std::cout << "ready" << std::endl;
   if (part.start_file.empty()) {
     all.play(reactor.now());
@@ -168,11 +184,18 @@
   auto* on_servers = on_standin->add_subcommand("servers", "the day's fleet of model servers");
   common(on_servers);
   on_servers->add_option("--roster", part.roster, "the roster to announce them to");
+  auto* on_broker = on_standin->add_subcommand("broker", "an MQTT broker");
+  common(on_broker);
+  on_broker->add_option("--listen", part.listen, "address and port; port 0: the system chooses");
   auto* on_clients = on_standin->add_subcommand("clients", "the day's clients");
   common(on_clients);
   on_clients->add_option("--router", part.routers, "a router's address; may be given again")->required();
 
+  on_clients->add_option("--broker", part.broker, "the broker for a share of the events");
+  on_clients->add_option("--mqtt", part.mqtt_share, "that share")->check(CLI::Range(0.0, 1.0));
+
   BenchEnds ends;
+
   auto* on_echo = on_standin->add_subcommand("echo", "the bench's server: answers at once");
   on_echo->add_option("--ports", ends.ports, "ports to listen on")->check(CLI::Range(1, 1000));
   on_echo->add_option("--answers", ends.answers, "answer so many and no more; below 0: all");
@@ -215,6 +238,8 @@
   on_badday->add_flag("--servers-load", bad_day.loads_by_themselves,
                       "servers load what they lack by themselves instead of answering that they lack it");
   on_badday->add_flag("--calm", bad_day.calm, "longer limits and ticks, for slow machines");
+  on_badday->add_option("--front", bad_day.front, "how events come: http, mqtt, both")
+      ->check(CLI::IsMember({"http", "mqtt", "both"}));
   auto* on_judge = app.add_subcommand("judge", "judge the records of a day once more");
   on_judge->add_option("folder", bad_day.folder, "the folder that badday --keep left")->required();
   on_judge->add_flag("--json", bad_day.json, "print the tally as JSON");
@@ -231,6 +256,7 @@
   if (on_check->parsed()) return check(file);
   if (on_roster->parsed()) return roster(part);
   if (on_servers->parsed()) return servers(part);
+  if (on_broker->parsed()) return broker(part);
   if (on_clients->parsed()) return clients(part);
   if (on_echo->parsed()) return echo(ends);
   if (on_pump->parsed()) return pump(ends);
--- a/src/fronts/mqtt_front.cpp
+++ b/src/fronts/mqtt_front.cpp
@@ -211,6 +211,9 @@
         return accepted(packet);
       case Type::publish:
         return came(packet);
+      case Type::puback:
+        told_.erase(packet.id);
+        return;
       case Type::pubrel:
         released_.erase(packet.id);
         return send({.type = Type::pubcomp, .id = packet.id});
@@ -237,6 +240,10 @@
     const std::string filter =
         rule_.group.empty() ? rule_.filter : "$share/" + rule_.group + "/" + rule_.filter;
     if (!packet.session_present) send({.type = Type::subscribe, .id = 1, .filters = {{filter, rule_.qos}}});
+    for (auto& [id, answer] : told_) {
+      answer.dup = packet.session_present;
+      send(answer);
+    }
   }
 
   void came(Packet& packet) {
@@ -270,7 +277,7 @@
     switch (deliveries_.meet(reactor_.now(), message.mark)) {
       case taking::Deliveries::Meeting::answered: {
         ++front_.tally_.answered_again;
-        if (const auto it = answers_.find(message.mark); it != answers_.end()) send(it->second);
+        if (const auto it = answers_.find(message.mark); it != answers_.end()) tell(it->second);
         return settle(id, std::move(message), mqtt::success);
       }
       case taking::Deliveries::Meeting::joins: {
@@ -375,7 +382,7 @@
     } else {
       return;
     }
-    send(reply);
+    tell(reply);
     answers_[mark] = std::move(reply);
     answer_order_.push_back(mark);
     if (answer_order_.size() <= most_answers) return;
@@ -398,7 +405,7 @@
     if (front_.links_.dead_letter.empty()) return;
     Packet letter{.type = Type::publish, .topic = front_.links_.dead_letter, .payload = payload};
     letter.properties.user = {{"reason", reason}, {"topic", topic}};
-    send(letter);
+    tell(letter);
   }
 
   // Acknowledgements leave in the order in which the messages came, as the standard asks.
@@ -422,6 +429,19 @@
     }
   }
 
+  // Answers and dead letters leave at QoS 1 and are kept until the broker has them, also over a broken
+  // connection.
+  void tell(Packet packet) {
+    if (told_.size() >= most_answers) told_.erase(told_.begin());
+    do {
+      if (++next_id_ == 0) next_id_ = 2;  // 1 is the subscription's
+    } while (told_.contains(next_id_));
+    packet.qos = 1;
+    packet.id = next_id_;
+    told_[packet.id] = packet;
+    send(packet);
+  }
+
   void send(const Packet& packet) {
     if (!stream_ || (packet.type != Type::connect && !connected_)) return;
     stream_->write(mqtt::encode(packet, front_.links_.version));
@@ -443,6 +463,9 @@
   std::map<EventId, Working> working_;
   std::map<std::string, Packet> answers_;
   std::deque<std::string> answer_order_;
+  std::map<std::uint16_t, Packet> told_;  // published and not acknowledged by the broker
+  std::uint16_t next_id_ = 1;
+
   core::Alarm again_, ping_, quiet_, look_;
   int failures_ = 0;
   bool connected_ = false, reading_ = false;
--- a/src/lab/badday.cpp
+++ b/src/lab/badday.cpp
@@ -46,7 +46,8 @@
     if (kept_) {
       path_ = kept;
       fs::create_directories(path_);
-      for (const char* old : {"clients.jsonl", "servers.jsonl", "roster.jsonl", "start", "tally.jsonl"})
+      for (const char* old :
+           {"clients.jsonl", "servers.jsonl", "roster.jsonl", "broker.jsonl", "start", "tally.jsonl"})
         fs::remove(path_ / old);
       return;
     }
@@ -75,12 +76,17 @@
 
 class Stage {
  public:
-  Stage(const Day& day, const Folder& folder) : day_(day), folder_(folder) {
+  Stage(const Day& day, const Folder& folder, const std::string& front) : day_(day), folder_(folder) {
     write(folder / "day.json", standin::to_json(day));
     const std::vector<std::string> common{"--day", folder / "day.json", "--start", folder / "start"};
     roster_ = std::make_unique<Process>("roster", joined({"standin", "roster"}, common, "roster.jsonl"),
                                         folder / "roster.log");
     roster_address_ = roster_->ready();
+    if (front != "http") {
+      broker_ = std::make_unique<Process>("broker", joined({"standin", "broker"}, common, "broker.jsonl"),
+                                          folder / "broker.log");
+      broker_address_ = broker_->ready();
+    }
     std::vector<std::string> of_servers = joined({"standin", "servers"}, common, "servers.jsonl");
     of_servers.insert(of_servers.end(), {"--roster", roster_address_});
     servers_ = std::make_unique<Process>("servers", of_servers, folder / "servers.log");
@@ -93,6 +99,9 @@
       place->process->ready();
       of_clients.insert(of_clients.end(), {"--router", place->port.address().toString()});
     }
+    if (broker_)
+      of_clients.insert(of_clients.end(),
+                        {"--broker", broker_address_, "--mqtt", front == "both" ? "0.5" : "1"});
     clients_ = std::make_unique<Process>("clients", of_clients, folder / "clients.log");
     clients_->ready();
   }
@@ -128,7 +137,8 @@
       throw std::runtime_error("the clients ended with " + std::to_string(code));
     for (int i = 0; i < day_.routers; ++i) routers_[static_cast<std::size_t>(i)]->process->ask_to_end();
     for (int i = 0; i < day_.routers; ++i) finish_router(i);
-    for (Process* process : {servers_.get(), roster_.get()}) {
+    for (Process* process : {servers_.get(), roster_.get(), broker_.get()}) {
+      if (process == nullptr) continue;
       process->ask_to_end();
       if (const int code = process->wait(10); code != 0)
         throw std::runtime_error(process->name() + " ended with " + std::to_string(code));
@@ -150,7 +160,7 @@
     RouterPlace& place = *routers_[static_cast<std::size_t>(number)];
     const std::string file = folder_ / (name + ".ini");
     write(file, standin::deployment_of(day_, number, place.port.address().toString(), roster_address_,
-                                       "fd:" + std::to_string(peer_descriptor), peers));
+                                       "fd:" + std::to_string(peer_descriptor), peers, broker_address_));
     place.process = std::make_unique<Process>(
         name, std::vector<std::string>{"serve", file, "--tally", folder_ / "tally.jsonl"},
         folder_ / (name + ".log"),
@@ -167,13 +177,15 @@
   const Folder& folder_;
   std::string roster_address_;
   std::vector<std::unique_ptr<RouterPlace>> routers_;
-  std::unique_ptr<Process> roster_, servers_, clients_;
+  std::unique_ptr<Process> roster_, broker_, servers_, clients_;
+  std::string broker_address_;
 };
 
 int judge_folder(const std::string& day_file, const std::vector<std::string>& record_files, bool json) {
   std::vector<nlohmann::json> records;
   for (const std::string& file : record_files) {
     std::ifstream in(file);
+    if (!in.is_open() && file.ends_with("broker.jsonl")) continue;  // a day without a broker
     if (!in.is_open()) throw std::runtime_error(file + ": cannot be read");
     for (nlohmann::json& record : checker::read_records(in, file)) records.push_back(std::move(record));
   }
@@ -194,18 +206,20 @@
                                       : standin::day_from_json(text_of(of.day_file));
   const Folder folder(of.folder);
   {
-    Stage stage(day, folder);
+    Stage stage(day, folder, of.front);
     stage.play();
   }
-  return judge_folder(folder / "day.json",
-                      {folder / "clients.jsonl", folder / "servers.jsonl", folder / "roster.jsonl"}, of.json);
+  return judge_folder(
+      folder / "day.json",
+      {folder / "clients.jsonl", folder / "servers.jsonl", folder / "roster.jsonl", folder / "broker.jsonl"},
+      of.json);
 }
 
 int judge(const BadDay& of) {
   const fs::path folder = of.folder;
   return judge_folder((folder / "day.json").string(),
                       {(folder / "clients.jsonl").string(), (folder / "servers.jsonl").string(),
-                       (folder / "roster.jsonl").string()},
+                       (folder / "roster.jsonl").string(), (folder / "broker.jsonl").string()},
                       of.json);
 }
 
--- a/src/standin/broker.cpp
+++ b/src/standin/broker.cpp
@@ -152,6 +152,7 @@
     Out& out = session.out.at(id);
     out.message.dup = true;
     if (session.link != &link) return;
+    if (!out.released) note(session, out.message);
     link.send(out.released ? Packet{.type = Type::pubrel, .id = id} : out.message);
   }
   pump(session);
@@ -278,6 +279,31 @@
   pump(session);
 }
 
+// What leaves for a router, for the checker: its event and whether it is a repeat.
+void Broker::note(const Session& session, const Packet& message) {
+  if (!message.properties.correlation_data || !message.properties.response_topic) return;
+  record_.line({{"what", "delivered"},
+                {"at", transport::monotonic_ns()},
+                {"client", session.client},
+                {"id", *message.properties.correlation_data},
+                {"dup", message.dup}});
+}
+
+void Broker::play(const Day& day, Time start) {
+  for (const Trouble& trouble : day.troubles) {
+    const bool drops = trouble.kind == TroubleKind::broker_drop;
+    if (!drops && trouble.kind != TroubleKind::broker_twice) continue;
+    reactor_.at(start + trouble.at, [this, drops] {
+      if (drops) drop_clients();
+      if (!drops) duplicate(true);
+    });
+    reactor_.at(start + trouble.at + trouble.span, [this, drops] {
+      if (drops) cut_next_publish(20);
+      if (!drops) duplicate(false);
+    });
+  }
+}
+
 void Broker::pump(Session& session) {
   while (session.link != nullptr && !session.queue.empty()) {
     if (session.queue.front().qos > 0 && session.out.size() >= session.receive_maximum) return;
@@ -296,6 +322,7 @@
       session.out[message.id] = {message, false, ++session.order};
       most_out_ = std::max(most_out_, session.out.size());
     }
+    note(session, message);
     session.link->send(message);
     if (duplicating_ && message.qos == 1 && session.link != nullptr &&
         session.out.size() < session.receive_maximum) {
--- a/src/standin/broker.h
+++ b/src/standin/broker.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "mqtt/packets.h"
+#include "standin/day.h"
 #include "standin/parts.h"
 #include "standin/record.h"
 #include "transport/reactor.h"
@@ -26,6 +27,8 @@
   // As if a client had published it.
   void publish(const mqtt::Packet& message);
 
+  void play(const Day& day, Time start);
+
   // Faults.
   void drop_clients();        // every connection ends; sessions live on
   void restart(bool forget);  // the same, sessions forgotten or not; connections are refused for so long
@@ -71,6 +74,7 @@
   void route(const mqtt::Packet& message);
   void deliver(Session& session, mqtt::Packet message, int most);
   void pump(Session& session);
+  void note(const Session& session, const mqtt::Packet& message);
   void gone(Link& link);
 
   transport::Reactor& reactor_;
--- a/src/standin/clients.cpp
+++ b/src/standin/clients.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "events/cloudevent.h"
+#include "mqtt/packets.h"
 
 namespace rushhill::standin {
 namespace {
@@ -13,8 +15,9 @@
 using Json = nlohmann::json;
 using transport::monotonic_ns;
 
-constexpr Time watch_after = 20'000;  // tenths of a millisecond; a second answer would show by then
-constexpr Time late_slack = 5'000;    // tenths of a millisecond past the limit that a client still listens
+constexpr Time watch_after = 20'000;      // tenths of a millisecond; a second answer would show by then
+constexpr Time broker_patience = 60'000;  // tenths of a millisecond that a message may lie at the broker
+constexpr Time late_slack = 5'000;  // tenths of a millisecond past the limit that a client still listens
 
 std::size_t place(const std::vector<double>& steps, double share) {
   const auto it = std::ranges::upper_bound(steps, share * steps.back());
@@ -115,14 +118,130 @@
   bool open_ = false;
 };
 
+// The clients' one connection to the broker: publishes events and reads their answers.
+class Clients::Publisher final : public transport::StreamUser {
+ public:
+  Publisher(Clients& clients, const std::string& broker)
+      : clients_(clients), broker_(transport::numeric_address(broker)), reader_(5, 4 * 1024 * 1024) {
+    connect();
+  }
+  ~Publisher() override { stream_->close(); }
+
+  void publish(const Event& event) {
+    mqtt::Packet packet{.type = mqtt::Type::publish, .qos = 1};
+    packet.topic = "events/" + event.type->name + "/" + event.function->name;
+    packet.properties.response_topic = "answers/clients";
+    packet.properties.correlation_data = event.id();
+    packet.properties.message_expiry = static_cast<std::uint32_t>(broker_patience / 10'000);
+    packet.properties.user = {{"specversion", "1.0"},
+                              {"id", event.id()},
+                              {"source", "/clients/" + std::to_string(clients_.day_.seed)},
+                              {"type", event.type->name},
+                              {"memorymb", std::to_string(static_cast<int>(event.function->memory_mb))},
+                              {"lanes", std::to_string(event.function->lanes)},
+                              {"workms", std::to_string(event.function->work / 10)}};
+    unacknowledged_.push_back(std::move(packet));
+    if (subscribed_) send_last();
+  }
+
+  void opened() override {
+    mqtt::Packet connect{.type = mqtt::Type::connect, .client_id = "clients", .clean_start = false};
+    connect.properties.session_expiry = 3600;
+    stream_->write(mqtt::encode(connect, 5));
+  }
+  void arrived(std::string_view bytes) override {
+    in_ += bytes;
+    mqtt::Packet packet;
+    while (reader_.put(in_, packet) == mqtt::Progress::done) {
+      take(packet);
+      packet = {};
+    }
+  }
+  void lost(transport::Loss) override {
+    subscribed_ = false;
+    clients_.reactor_.soon([gone = stream_] {});
+    clients_.reactor_.at(clients_.reactor_.now() + 200, [this] { connect(); });
+  }
+
+ private:
+  void connect() {
+    in_.clear();
+    reader_ = mqtt::Reader(5, 4 * 1024 * 1024);
+    stream_ = transport::Stream::connect(clients_.reactor_, broker_, *this);
+  }
+  void send_last() {
+    mqtt::Packet& packet = unacknowledged_.back();
+    if (++next_ == 0) next_ = 1;
+    packet.id = next_;
+    stream_->write(mqtt::encode(packet, 5));
+  }
+  void take(const mqtt::Packet& packet) {
+    if (packet.type == mqtt::Type::connack) {
+      stream_->write(
+          mqtt::encode({.type = mqtt::Type::subscribe, .id = 1, .filters = {{"answers/#", 1}}}, 5));
+    } else if (packet.type == mqtt::Type::suback) {
+      subscribed_ = true;
+      for (mqtt::Packet& again : unacknowledged_) {
+        again.dup = again.id != 0;
+        if (again.id == 0) again.id = ++next_;
+        stream_->write(mqtt::encode(again, 5));
+      }
+    } else if (packet.type == mqtt::Type::puback) {
+      std::erase_if(unacknowledged_, [&](const auto& sent) { return sent.id == packet.id; });
+    } else if (packet.type == mqtt::Type::publish) {
+      if (packet.qos == 1) stream_->write(mqtt::encode({.type = mqtt::Type::puback, .id = packet.id}, 5));
+      clients_.told(packet);
+    }
+  }
+
+  Clients& clients_;
+  transport::Address broker_;
+  mqtt::Reader reader_;
+  std::shared_ptr<transport::Stream> stream_;
+  std::string in_;
+  std::deque<mqtt::Packet> unacknowledged_;
+  std::uint16_t next_ = 1;
+  bool subscribed_ = false;
+};
+
+void Clients::told(const mqtt::Packet& answer) {
+  const std::string id = answer.properties.correlation_data.value_or("");
+  std::string outcome;
+  int router = -1;
+  for (const auto& [name, value] : answer.properties.user) {
+    if (name == "outcome") outcome = value;
+    if (name == "router") router = std::atoi(value.c_str());
+  }
+  const auto it = published_.find(id);
+  if (it == published_.end()) {
+    // An answer told again is the same one; another one is a second final answer.
+    const auto first = answered_as_.find(id);
+    const bool same = first != answered_as_.end() && first->second == outcome;
+    record_.line({{"what", same ? "repeated-answer" : "extra"}, {"at", monotonic_ns()}, {"id", id}});
+    return;
+  }
+  Event& event = *events_.at(it->second);
+  published_.erase(it);
+  answered_as_[id] = outcome;
+  event.current["router"] = router;
+  event.current["how"] = "answered";
+  const std::string known =
+      outcome == "honoured" || outcome == "shed" || outcome == "abandoned" ? outcome : "other";
+  if (known == "honoured" && answer.payload.find("\"" + id + "\"") == std::string::npos)
+    return end(event, "wrong-answer");
+  end(event, known.c_str());
+}
+
 Clients::Clients(transport::Reactor& reactor, const Day& day, std::vector<transport::Address> routers,
-                 Record& record, std::function<void()> over)
+                 Record& record, std::function<void()> over, const std::string& broker, double mqtt_share)
     : reactor_(reactor), day_(day), routers_(std::move(routers)), record_(record), over_(std::move(over)),
       chance_(static_cast<std::uint_fast32_t>(day.seed % 16'777'183)), idle_(routers_.size()) {
   double sum = 0;
   for (const FunctionMake& make : day_.functions) function_steps_.push_back(sum += make.weight);
   sum = 0;
   for (const TypeMake& make : day_.types) type_steps_.push_back(sum += make.share);
+  mqtt_share_ = broker.empty() ? 0 : mqtt_share;
+  if (!broker.empty()) publisher_ = std::make_shared<Publisher>(*this, broker);
 }
 Clients::~Clients() = default;
 
@@ -164,11 +283,31 @@
       placed.current["how"] = "silent";
       end(placed, "none");
     });
-    send(placed);
+    if (draw() < mqtt_share_) {
+      publish(placed);
+    } else {
+      send(placed);
+    }
     plan_next();
   });
 }
 
+// The router counts from when it takes the message; how long it lies at the broker is not its doing.
+void Clients::publish(Event& event) {
+  event.limit += broker_patience;
+  event.line["limit_ms"] = (event.type->hard_limit + broker_patience) / 10;
+  event.line["front"] = "mqtt";
+  event.current = {{"router", -1}, {"sent", monotonic_ns()}};
+  published_[event.id()] = event.number;
+  reactor_.withdraw(event.alarm);
+  event.alarm = reactor_.at(event.limit + late_slack, [this, &event] {
+    published_.erase(event.id());
+    event.current["how"] = "silent";
+    end(event, "none");
+  });
+  publisher_->publish(event);
+}
+
 Clients::Link* Clients::idle_link(std::size_t router) {
   auto& idle = idle_[router];
   while (!idle.empty()) {
--- a/src/standin/day.cpp
+++ b/src/standin/day.cpp
@@ -14,9 +14,10 @@
 using Json = nlohmann::json;
 
 constexpr std::array kind_names{
-    "silence",      "mute-head",    "mute-half",  "reset",        "refuse",         "slow",  "fail-fast",
-    "crash",        "lose-answers", "trickle",    "garbage",      "close-on-use",   "drain", "roster-lag",
-    "roster-break", "roster-twice", "store-slow", "store-refuse", "router-restart", "burst"};
+    "silence",        "mute-head",  "mute-half",    "reset",        "refuse",     "slow",
+    "fail-fast",      "crash",      "lose-answers", "trickle",      "garbage",    "close-on-use",
+    "drain",          "roster-lag", "roster-break", "roster-twice", "store-slow", "store-refuse",
+    "router-restart", "burst",      "broker-drop",  "broker-twice"};
 
 std::string ms(Time time) {
   std::ostringstream text;
@@ -208,7 +209,8 @@
 }
 
 std::string deployment_of(const Day& day, int router, const std::string& listen, const std::string& roster,
-                          const std::string& peer_listen, const std::vector<std::string>& peers) {
+                          const std::string& peer_listen, const std::vector<std::string>& peers,
+                          const std::string& broker) {
   std::ostringstream out;
   const RuleFigures& rules = day.rules;
   const MachineMake& near = day.servers[static_cast<std::size_t>(router) % day.servers.size()];
@@ -228,6 +230,14 @@
     for (std::size_t i = 0; i < peers.size(); ++i) out << "router-" << i << " = " << peers[i] << "\n";
     out << "\n";
   }
+  if (!broker.empty()) {
+    out << "[mqtt]\naddress = " << broker << "\nclient = router-" << router << "\nretry = 50ms\n\n";
+    for (const TypeMake& type : day.types) {
+      out << "[mqtt-topic " << type.name << "]\nfilter = events/" << type.name
+          << "/+\ngroup = routers\nqos = 1\nevent-type = " << type.name
+          << "\nfunction = {1}\nweight = " << type.share << "\n\n";
+    }
+  }
   for (const TypeMake& type : day.types) {
     out << "[traffic " << type.name << "]\ndue = " << ms(type.due) << "\nhard-limit = " << ms(type.hard_limit)
         << "\neffect = " << type.effect << "\ngroup = " << type.group
@@ -307,6 +317,8 @@
   add(store_slow, 0.66, 0.08, 3, {});
   add(roster_break, 0.70, 0.02, 1, {});
   add(burst, 0.74, 0.06, 1.6, {});
+  add(broker_drop, 0.34, 0.10, 1, {});
+  add(broker_twice, 0.58, 0.10, 1, {});
   add(store_refuse, 0.82, 0.03, 1, {});
   add(silence, 0.86, 0.05, 1, {ids[13]});
   return day;
--- a/src/standin/day.h
+++ b/src/standin/day.h
@@ -67,7 +67,9 @@
   store_slow,      // loads take so many times longer
   store_refuse,    // the store turns all fetches away
   router_restart,  // a router is stopped and started again
-  burst            // so many times the usual events
+  burst,           // so many times the usual events
+  broker_drop,     // the broker drops its clients, and at the span's end cuts a message in its midst
+  broker_twice     // the broker sends every message twice
 };
 
 struct Trouble {
@@ -116,7 +118,8 @@
 
 // The deployment file of one of the day's routers.
 std::string deployment_of(const Day& day, int router, const std::string& listen, const std::string& roster,
-                          const std::string& peer_listen, const std::vector<std::string>& peers);
+                          const std::string& peer_listen, const std::vector<std::string>& peers,
+                          const std::string& broker = "");
 
 // The scripted bad day: every fault once at least, a rolling drain and a router restarted. A calm one leaves
 // slow machines more time: longer limits and ticks, the same faults.
