Stories wait for the subscription and for the whole question, not for a span

Cause: on a busy machine the MQTT stories published before the router's SUBSCRIBE had reached the broker, and the roster's stand-in of one story answered each part of a split question.

Change: the stories wait until the broker knows the subscription; the roster answers whole lines.

--- a/src/standin/broker.cpp
+++ b/src/standin/broker.cpp
@@ -117,6 +117,11 @@
   return it == sessions_.end() ? 0 : it->second.queue.size();
 }
 
+std::size_t Broker::subscribed() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(sessions_, [](const auto& known) { return !known.second.filters.empty(); }));
+}
+
 bool Broker::connected(const std::string& client) const {
   const auto it = sessions_.find(client);
   return it != sessions_.end() && it->second.link != nullptr;
--- a/src/standin/broker.h
+++ b/src/standin/broker.h
@@ -45,6 +45,7 @@
   std::size_t unacknowledged(const std::string& client) const;
   std::size_t queued(const std::string& client) const;
   bool connected(const std::string& client) const;
+  std::size_t subscribed() const;  // sessions with a subscription
   std::size_t most_unacknowledged() const { return most_out_; }
   const std::vector<std::string>& acknowledged() const { return acknowledged_; }  // payloads, in their order
   std::vector<mqtt::Packet> seen;                                                 // every message routed
--- a/tests/fronts/mqtt_front_test.cpp
+++ b/tests/fronts/mqtt_front_test.cpp
@@ -59,7 +59,7 @@
                              "[mqtt-topic wards]\nfilter = wards/+/+\nqos = 2\nfunction = ward-{1}\n" + topic;
     router = std::make_unique<router::RouterProcess>(reactor, deployment::read_text("f", text), 5, silent);
     router->gateway().roster(RosterForm::complete, {{{.id = "s"}, server.address()}});
-    ASSERT_TRUE(pump.until([&] { return broker.sessions() > 0; }));
+    ASSERT_TRUE(pump.until([&] { return broker.subscribed() > 0; }));
     pump.pass(100);
   }
   Packet message(const std::string& id, const std::string& type = "lookup", int qos = 1) {
@@ -189,6 +189,7 @@
   ASSERT_TRUE(pump.until([&] { return !held.empty(); }));
   broker.restart(true);
   ASSERT_TRUE(pump.until([&] { return tally().connections == 2; }));
+  ASSERT_TRUE(pump.until([&] { return broker.subscribed() == 1; }));
   let_go();
   pump.pass(300);
   broker.publish(message("after"));
@@ -220,7 +221,7 @@
       "\nclient = q\nretry = 10ms\n[mqtt-topic wards]\nfilter = wards/+/+\nfunction = ward-{1}\n" + group;
   auto other = std::make_unique<router::RouterProcess>(reactor, deployment::read_text("f", text), 6, silent);
   other->gateway().roster(RosterForm::complete, {{{.id = "s"}, server.address()}});
-  ASSERT_TRUE(pump.until([&] { return broker.sessions() == 2; }));
+  ASSERT_TRUE(pump.until([&] { return broker.subscribed() == 2; }));
   pump.pass(100);
   for (int i = 0; i < 10; ++i) broker.publish(message("m" + std::to_string(i), "booking"));
   ASSERT_TRUE(acknowledged(10));
@@ -237,7 +238,7 @@
 
 TEST_F(MqttStory, OneTopicsFloodFillsItsWindowOnlyAndOthersAreAnswered) {
   start("in-flight = 8\n", "[mqtt-topic quiet]\nfilter = quiet\nfunction = f\n");
-  ASSERT_TRUE(pump.until([&] { return broker.sessions() == 2; }));
+  ASSERT_TRUE(pump.until([&] { return broker.subscribed() == 2; }));
   pump.pass(100);
   for (int i = 0; i < 200; ++i) broker.publish(message("held-" + std::to_string(i)));
   ASSERT_TRUE(pump.until([&] { return held.size() == 4; }));
--- a/tests/membership/roster_test.cpp
+++ b/tests/membership/roster_test.cpp
@@ -81,6 +81,7 @@
  protected:
   Following() {
     server.on_bytes = [&](RawPeer& peer) {
+      if (!peer.seen.ends_with('\n')) return;  // not the whole question yet
       ++asked;
       if (answer.empty()) return;
       peer.stream->write(answer);
