--- a/src/standin/broker.cpp
+++ b/src/standin/broker.cpp
@@ -275,7 +275,7 @@
   message.qos = std::min(message.qos, most);
   message.dup = message.retain = false;
   message.id = 0;
-  // The moment of its expiry stands in the identifier's place of the queue: seconds of the monotonic clock.
+  // While it lies in the queue its expiry is a moment, in seconds of the monotonic clock.
   if (message.properties.message_expiry)
     message.properties.message_expiry =
         *message.properties.message_expiry + static_cast<std::uint32_t>(reactor_.now() / 10'000);
--- a/tests/core/gateway_test.cpp
+++ b/tests/core/gateway_test.cpp
@@ -31,6 +31,7 @@
     }
     now_ = end;
   }
+  void jump(Time span) { now_ += span; }  // the moment has come, and nothing has rung yet
   std::size_t standing() const { return alarms_.count(); }
 
  private:
@@ -152,6 +153,17 @@
   EXPECT_EQ(told.answers.size(), 1U);
 }
 
+TEST_F(GatewayStory, InTheVeryTickOfTheHardLimitTheLimitComesBeforeTheAnswer) {
+  deployment.tick = -20'000;  // the module has not given up yet
+  start();
+  event();
+  clock.jump(2 * second);
+  end(0, Ending::honoured);
+  clock.pass(second);
+  EXPECT_EQ(told.answers, std::vector<std::string>{"abandoned"});
+  EXPECT_EQ(gateway->tally().honoured, 0U);
+}
+
 TEST_F(GatewayStory, ASilentServersShotIsGivenUpBeforeTheNextLeaves) {
   start();
   const EventId first = event();
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -25,6 +25,26 @@
   EXPECT_EQ(alarms.next(), 20);
 }
 
+TEST(Alarms, AHundredThousandRingInTheirOrderWithoutTheWithdrawn) {
+  core::Alarms alarms;
+  std::vector<core::Alarm> set;
+  Time last = 0;
+  int rung = 0;
+  for (int i = 0; i < 100'000; ++i) {
+    const Time when = 1 + (i * 7'919) % 100'003;
+    set.push_back(alarms.set(when, [&, when] {
+      EXPECT_LE(last, when);
+      last = when;
+      ++rung;
+    }));
+  }
+  for (std::size_t i = 0; i < set.size(); i += 2) alarms.withdraw(set[i]);
+  for (Time now = 0; now <= 100'003; now += 100) alarms.ring(now);
+  alarms.ring(100'003);
+  EXPECT_EQ(rung, 50'000);
+  EXPECT_EQ(alarms.count(), 0U);
+}
+
 TEST(Alarms, AnAlarmMayWithdrawTheOneThatWouldRingNext) {
   core::Alarms alarms;
   bool rung = false;
