A story for the roster's reload

Need: of what the module may ask of the roster's source only following was tried on sockets.

Change: a client that only reloads asks once, with its number, and is told the complete list.

--- a/tests/membership/roster_test.cpp
+++ b/tests/membership/roster_test.cpp
@@ -125,6 +125,16 @@
   EXPECT_TRUE(client.heard_any());
 }
 
+TEST_F(Following, AReloadAsksOnceAndFollowsNothing) {
+  ASSERT_TRUE(pump.until([&] { return heard.size() == 1; }));
+  std::vector<RosterForm> told;
+  RosterClient other(reactor, transport::numeric_address(server.address()), 5, 50, 1, silent,
+                     [&](RosterForm form, const std::vector<core::RosterEntry>&) { told.push_back(form); });
+  other.reload();
+  ASSERT_TRUE(pump.until([&] { return told.size() == 1; }));
+  EXPECT_EQ(server.peers.back()->seen, "{\"ask\":\"reload\",\"router\":5}\n");
+}
+
 TEST_F(Following, AWordSplitAnywhereIsHeardOnce) {
   reactor.most_at_once = 3;
   ASSERT_TRUE(pump.until([&] { return heard.size() == 1; }));
