--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -5,231 +5,24 @@
 #include <set>
 #include <utility>
 
+#include "told/deployment.h"
+
 namespace rushhill::benchlink {
 namespace {
 
 using Json = nlohmann::json;
-
-constexpr std::int64_t ns_per_tenth = 100'000;
-
-// Rounding keeps promises: what limits us is rounded down, what others need from us is rounded up.
-Time floor_time(std::int64_t ns) {
-  const Time whole = ns / ns_per_tenth;
-  return ns % ns_per_tenth < 0 ? whole - 1 : whole;
-}
-Time ceil_time(std::int64_t ns) { return -floor_time(-ns); }
-std::int64_t to_ns(Time time) { return time * ns_per_tenth; }
-
-// Fields of one object; a missing or mistyped one is named in the error.
-class Fields {
- public:
-  explicit Fields(const Json& object, std::string where = "") : object_(object), where_(std::move(where)) {
-    if (!object.is_object())
-      throw BadLine(where_.empty() ? "not an object" : "field '" + where_ + "' is not an object");
-  }
-
-  const Json* find(const char* name) const {
-    const auto found = object_.find(name);
-    return found == object_.end() || found->is_null() ? nullptr : &*found;
-  }
-  const Json& need(const char* name) const {
-    const Json* value = find(name);
-    if (value == nullptr) throw BadLine("missing field '" + path(name) + "'");
-    return *value;
-  }
-  std::int64_t whole(const char* name) const { return as_whole(name, need(name)); }
-  std::int64_t whole(const char* name, std::int64_t otherwise) const {
-    const Json* value = find(name);
-    return value == nullptr ? otherwise : as_whole(name, *value);
-  }
-  double number(const char* name, double otherwise) const {
-    const Json* value = find(name);
-    if (value == nullptr) return otherwise;
-    if (!value->is_number()) wrong(name, "a number");
-    return value->get<double>();
-  }
-  bool flag(const char* name) const {
-    const Json* value = find(name);
-    if (value == nullptr) return false;
-    if (!value->is_boolean()) wrong(name, "true or false");
-    return value->get<bool>();
-  }
-  std::string text(const char* name) const { return as_text(name, need(name)); }
-  std::string text(const char* name, const std::string& otherwise) const {
-    const Json* value = find(name);
-    return value == nullptr ? otherwise : as_text(name, *value);
-  }
-  Fields object(const char* name) const { return Fields(need(name), path(name)); }
-  const Json& list(const char* name) const {
-    const Json& value = need(name);
-    if (!value.is_array()) wrong(name, "a list");
-    return value;
-  }
-  // One of the wire's words, in the order of the enumeration.
-  template <typename Enum, std::size_t N>
-  Enum word(const char* name, const std::array<const char*, N>& words) const {
-    const std::string value = text(name);
-    for (std::size_t i = 0; i < N; ++i) {
-      if (value == words[i]) return static_cast<Enum>(i);
-    }
-    throw BadLine("field '" + path(name) + "' has the unknown value '" + value + "'");
-  }
-  std::vector<std::string> texts(const char* name) const {
-    std::vector<std::string> values;
-    if (find(name) == nullptr) return values;
-    for (const Json& value : list(name)) values.push_back(as_text(name, value));
-    return values;
-  }
-  std::map<std::string, double> numbers(const char* name) const {
-    std::map<std::string, double> values;
-    const Json* object = find(name);
-    if (object == nullptr) return values;
-    if (!object->is_object()) wrong(name, "an object");
-    for (const auto& [key, value] : object->items()) {
-      if (value.is_number()) values[key] = value.get<double>();
-    }
-    return values;
-  }
-
- private:
-  std::string path(const char* name) const { return where_.empty() ? name : where_ + "." + name; }
-  [[noreturn]] void wrong(const char* name, const char* wanted) const {
-    throw BadLine("field '" + path(name) + "' is not " + wanted);
-  }
-  std::int64_t as_whole(const char* name, const Json& value) const {
-    if (value.is_number_integer()) return value.get<std::int64_t>();
-    if (!value.is_number_float()) wrong(name, "a whole number");
-    const double number = value.get<double>();
-    if (!(number > -9e18 && number < 9e18)) wrong(name, "a whole number");
-    return static_cast<std::int64_t>(number);
-  }
-  std::string as_text(const char* name, const Json& value) const {
-    if (!value.is_string()) wrong(name, "text");
-    return value.get<std::string>();
-  }
-
-  const Json& object_;
-  std::string where_;
-};
+using told::ceil_time;
+using told::Fields;
+using told::floor_time;
+using told::read_deployment;
+using told::read_server;
+using told::to_ns;
 
 constexpr std::array ending_words{"served",     "server_error",  "turned_away",
                                   "no_answer",  "no_connection", "connection_lost",
                                   "called_off", "not_sent",      "not_stored"};
-constexpr std::array effect_words{"free", "guarded", "single_shot"};
-constexpr std::array group_words{"all", "zone", "cell"};
-constexpr std::array condition_words{"active", "leaving", "left"};
 constexpr std::array form_words{"diff", "snapshot", "disk", "error"};
 
-TrafficType read_traffic_type(const Json& entry) {
-  const Fields fields(entry, "services");
-  TrafficType type;
-  type.name = fields.text("name");
-  type.due = floor_time(fields.whole("promise"));
-  type.hard_limit = floor_time(fields.whole("deadline"));
-  type.importance = fields.number("worth", 1);
-  type.late_share = fields.number("late-share", 0);
-  type.effect = fields.word<Effect>("effect", effect_words);
-  if (fields.find("group") != nullptr) type.group = fields.word<Group>("group", group_words);
-  type.memory_span = floor_time(fields.whole("memory-span", 0));
-  type.stream = fields.flag("stream");
-  type.due_stretch = fields.number("aim-stretch", 0);
-  return type;
-}
-
-void read_family(const Fields& family, const Json* kinds, Deployment& deployment) {
-  deployment.orders = family.flag("placement-calls");
-  deployment.miss_answers = family.text("not-loaded", "load") == "miss";
-  deployment.tells_warm = family.flag("marks-cold");
-  deployment.tells_crowd = family.flag("notes-peers-in-hand");
-  deployment.keep_alive = floor_time(family.whole("keep", 0));
-  deployment.order_limit = ceil_time(family.whole("answer-within", 0));
-  deployment.load_window = ceil_time(family.whole("load-window", 0));
-  deployment.load_free = family.number("load-free", 0);
-  deployment.loads_per_event = family.number("loads-per-request", 0);
-  deployment.memory_price = family.number("memory-price", 0);
-  if (kinds == nullptr || family.find("kind-memory-mb") == nullptr) return;
-  const Json& memory = family.list("kind-memory-mb");
-  for (std::size_t i = 0; i < memory.size() && kinds->is_array() && i < kinds->size(); ++i) {
-    if (memory[i].is_number() && (*kinds)[i].is_string()) {
-      deployment.kind_memory_mb[(*kinds)[i].get<std::string>()] = memory[i].get<double>();
-    }
-  }
-}
-
-Deployment read_deployment(const Fields& info) {
-  Deployment deployment;
-  deployment.me = static_cast<int>(info.whole("me", 0));
-  deployment.routers = static_cast<int>(info.whole("balancers", 1));
-  deployment.location = info.text("zone", "");
-  deployment.tick = ceil_time(info.whole("quantum", 0));
-  deployment.over_share_worth = info.number("over-share-worth", 1);
-  deployment.roster_on_request = info.text("discovery", "pushed") == "on_request";
-  deployment.prices = info.numbers("penalties");
-  deployment.result_mix = info.numbers("result-mix");
-  deployment.locations = info.texts("dcs");
-  deployment.stages = info.texts("stages");
-  deployment.stage = static_cast<int>(info.whole("tier", 0));
-  deployment.importance_by_work = info.text("worth-by", "request") == "work";
-  deployment.rating_kind = info.text("weight-kind", "");
-  if (info.find("clients") != nullptr) {
-    deployment.clients_mark_repeats = info.object("clients").flag("marks-retry");
-  }
-  if (info.find("reporting") != nullptr) {
-    deployment.reports = info.object("reporting").text("how", "");
-    deployment.report_names = info.object("reporting").texts("names");
-  }
-  for (const Json& entry : info.list("services"))
-    deployment.traffic_types.push_back(read_traffic_type(entry));
-  if (info.find("tenants") != nullptr) {
-    for (const Json& entry : info.list("tenants")) {
-      const Fields fields(entry, "tenants");
-      deployment.customers.push_back(
-          {fields.text("name"), fields.number("share", 0), fields.number("quota-per-s", 0)});
-    }
-  }
-  const Fields rules = info.object("obligations");
-  deployment.answer_grace = floor_time(rules.whole("grace-to-answer", 0));
-  deployment.drain_grace = floor_time(rules.whole("drain-grace", 0));
-  deployment.ask_every = floor_time(rules.whole("ask-every", 0));
-  deployment.fall_multiple = rules.number("fall-multiple", 1);
-  deployment.fall_span = ceil_time(rules.whole("fall", 0));
-  deployment.cold_share = rules.number("cold-share", 1);
-  deployment.cold_span = ceil_time(rules.whole("cold", 0));
-  const Fields permissions = info.object("permissions");
-  deployment.shot_cap = static_cast<int>(permissions.whole("send-cap", 1));
-  deployment.open_cap = static_cast<int>(permissions.whole("open-cap", 0));
-  deployment.cancel = permissions.flag("cancel");
-  deployment.second_copies = permissions.flag("second-copies");
-  deployment.probing = permissions.flag("probing");
-  deployment.peers = permissions.flag("peers");
-  deployment.retry_advice = permissions.flag("retry-after");
-  deployment.longest_retry_advice = floor_time(permissions.whole("max-retry-after", 0));
-  deployment.shots_a_connection = static_cast<int>(permissions.whole("multiplex", 1));
-  deployment.connection_idle = floor_time(permissions.whole("conn-idle", 0));
-  deployment.cpu_per_event = static_cast<Time>(permissions.number("cpu-us-per-request", 0));
-  deployment.cpu_per_second = static_cast<Time>(permissions.number("cpu-us-per-s", 0));
-  deployment.connect_limit = ceil_time(permissions.whole("connect-timeout", 0));
-  if (info.find("family-info") != nullptr)
-    read_family(info.object("family-info"), info.find("kinds"), deployment);
-  return deployment;
-}
-
-ModelServer read_server(const Json& entry) {
-  const Fields fields(entry, "rows");
-  ModelServer server;
-  server.id = fields.text("server");
-  const std::int64_t born = fields.whole("born", 0);
-  server.started = born == 0 ? 0 : ceil_time(born);
-  server.rating = fields.number("rating", 1);
-  server.kind = fields.text("class-of-host", "");
-  server.location = fields.text("failure-domain", "");
-  server.cell = static_cast<int>(fields.whole("block", 0));
-  if (fields.find("condition") != nullptr) {
-    server.condition = fields.word<Condition>("condition", condition_words);
-  }
-  return server;
-}
-
 constexpr std::string_view base64_digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 std::string to_base64(const std::string& bytes) {
--- a/src/benchlink/wire.h
+++ b/src/benchlink/wire.h
@@ -13,13 +13,12 @@
 #include <vector>
 
 #include "decide.h"
+#include "told/fields.h"
 
 namespace rushhill::benchlink {
 
 // A line that is not as the wire's description says: ends the program with a plain message.
-class BadLine : public std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using BadLine = told::BadField;
 
 class Link {
  public:
--- /dev/null
+++ b/src/carrying/line_pool.cpp
@@ -0,0 +1,377 @@
+#include "carrying/line_pool.h"
+
+#include <algorithm>
+#include <deque>
+#include <stdexcept>
+
+namespace rushhill::carrying {
+namespace {
+
+using transport::Loss;
+using transport::Stream;
+
+constexpr std::size_t most_unsent = 256 * 1024;  // bytes; a server that takes no more is silent
+constexpr std::size_t ids_kept = 64;  // ids that a connection has carried; far above its tries of one
+
+}  // namespace
+
+struct LinePool::Exchange {
+  enum class Kind { shot, probe, order, unload } kind = Kind::shot;
+  ServerId server{};
+  EventId event = 0;
+  int leg = 0;
+  FunctionId function{};
+  std::string tag{};  // the event's id, or our own
+  std::string bytes{};
+  Time limit = 0;        // 0: ended from above
+  bool again = false;    // it has been on a connection that took none of it
+  std::size_t from = 0;  // bytes before it on its connection
+  core::Alarm alarm{};
+};
+
+// One connection. A server's answers are believed by their ids alone, so an id is never twice on the same
+// one: a second copy of an answer, or one that was under way when its shot was given up, meets no later shot.
+class LinePool::Link final : public transport::StreamUser, public transport::Numbered {
+ public:
+  Link(LinePool& pool, Server& server)
+      : pool_(pool), reactor_(pool.reactor_), server_(server), reader_(pool.bounds_.answers) {
+    ++pool_.connections_;
+    stream_ = Stream::connect(reactor_, *server.address, *this);
+    alarm_ =
+        reactor_.at(reactor_.now() + pool.bounds_.connect_limit, [this] { fail(Ending::no_connection); });
+  }
+  ~Link() override {
+    reactor_.withdraw(alarm_);
+    for (auto& [tag, exchange] : open_) reactor_.withdraw(exchange.alarm);
+    if (stream_) stream_->close();
+  }
+
+  Server& server() { return server_; }
+  std::size_t open() const { return open_.size(); }
+  Time idle_since() const { return idle_since_; }
+  bool usable(const Exchange& exchange) const {
+    return !retired_ && !over_ && open_.size() < static_cast<std::size_t>(pool_.bounds_.shots_a_connection) &&
+           std::ranges::find(carried_ids_, exchange.tag) == carried_ids_.end();
+  }
+  bool sound() { return !established_ || !stream_->peer_has_ended(); }
+  // Nothing new goes on it; it is closed when what it carries has ended.
+  void retire() {
+    retired_ = true;
+    if (open_.empty()) pool_.forget(*this);
+  }
+  void close() {
+    over_ = true;
+    reactor_.withdraw(alarm_);
+    stream_->close();
+  }
+
+  void use(Exchange exchange) {
+    if (established_) reactor_.withdraw(alarm_);
+    exchange.from = stream_->handed_over() + stream_->waiting();
+    const std::string bytes = exchange.bytes;
+    if (exchange.kind == Exchange::Kind::unload) {
+      if (established_ && open_.empty()) rest();
+      return stream_->write(bytes);
+    }
+    carried_ids_.push_back(exchange.tag);
+    if (carried_ids_.size() > ids_kept) carried_ids_.pop_front();
+    if (exchange.limit > 0) {
+      exchange.alarm = reactor_.at(exchange.limit, [this, tag = exchange.tag] {
+        const auto self = hold();
+        Exchange late = take(tag);
+        retire();
+        pool_.end(late, Ending::no_answer);
+      });
+    }
+    if (exchange.kind == Exchange::Kind::shot) pool_.shots_[{exchange.event, exchange.leg}] = this;
+    open_.emplace(exchange.tag, std::move(exchange));
+    stream_->write(bytes);
+    if (stream_->waiting() > most_unsent) retired_ = true;
+  }
+
+  // The shot is given up. Where nothing else is on the connection its close says so, and a server whose
+  // answer will never come costs no later shot; beside others it is taken back by a word, and they are the
+  // last.
+  void give_up(EventId event, int leg) {
+    const auto self = hold();
+    const auto it = std::ranges::find_if(open_, [&](const auto& item) {
+      return item.second.kind == Exchange::Kind::shot && item.second.event == event && item.second.leg == leg;
+    });
+    if (it == open_.end()) return;
+    const std::string tag = it->first;
+    take(tag);
+    if (!open_.empty()) stream_->write(lines::abort(tag));
+    retire();
+  }
+
+  void opened() override {
+    established_ = true;
+    reactor_.withdraw(alarm_);
+    if (open_.empty()) rest();
+  }
+
+  void arrived(std::string_view bytes) override {
+    const auto self = hold();
+    reader_.put(bytes);
+    lines::Answer answer;
+    while (!over_) {
+      switch (reader_.next(answer)) {
+        case lines::Progress::more:
+          return;
+        case lines::Progress::bad:
+          return spoilt(reader_.suspect());
+        case lines::Progress::answer:
+          break;
+      }
+      if (!open_.contains(answer.id)) continue;  // unknown, a second one, or of what was given up
+      const Exchange exchange = take(answer.id);
+      if (open_.empty()) {
+        if (retired_) {
+          pool_.forget(*this);
+        } else {
+          rest();
+        }
+      }
+      pool_.answered(exchange, std::move(answer));
+    }
+  }
+
+  void lost(Loss why) override {
+    fail(why == Loss::refused ? Ending::no_connection : Ending::connection_lost);
+  }
+
+ private:
+  std::shared_ptr<Link> hold() {
+    const auto it = server_.links.find(this);
+    return it == server_.links.end() ? nullptr : it->second;
+  }
+  void rest() {
+    idle_since_ = reactor_.now();
+    alarm_ = reactor_.at(idle_since_ + pool_.bounds_.idle, [this] { pool_.forget(*this); });
+  }
+  Exchange take(const std::string& tag) {
+    const auto it = open_.find(tag);
+    Exchange exchange = std::move(it->second);
+    open_.erase(it);
+    reactor_.withdraw(exchange.alarm);
+    if (exchange.kind == Exchange::Kind::shot) pool_.shots_.erase({exchange.event, exchange.leg});
+    return exchange;
+  }
+  std::vector<Exchange> take_all() {
+    std::vector<Exchange> all;
+    while (!open_.empty()) all.push_back(take(std::string(open_.begin()->first)));
+    return all;
+  }
+
+  // What cannot be read: the one it was meant for has run and has no answer, the others lose their
+  // connection.
+  void spoilt(const std::string& suspect) {
+    pool_.diary_.line(core::Level::warning, "answer cannot be read", {{"server", server_.id}});
+    const bool known = open_.contains(suspect) || open_.size() == 1;
+    pool_.forget(*this);
+    std::vector<Exchange> all = take_all();
+    for (const Exchange& exchange : all) {
+      const bool meant = all.size() == 1 || exchange.tag == suspect;
+      pool_.end(exchange, meant || !known ? Ending::error : Ending::connection_lost);
+    }
+  }
+
+  void fail(Ending ending) {
+    const auto self = hold();
+    const std::size_t handed_over = stream_->handed_over();
+    pool_.forget(*this);
+    for (Exchange& exchange : take_all()) {
+      // Only where the system took no byte of it is it certain that nothing was begun.
+      const bool untouched = handed_over <= exchange.from;
+      if (established_ && untouched && !exchange.again) {
+        exchange.again = true;
+        const ServerId id = exchange.server;
+        pool_.start(id, std::move(exchange));
+      } else {
+        pool_.end(exchange, untouched ? Ending::no_connection : ending);
+      }
+    }
+  }
+
+  LinePool& pool_;
+  transport::Reactor& reactor_;  // also when the pool is gone
+  Server& server_;
+  std::shared_ptr<Stream> stream_;
+  lines::Reader reader_;
+  std::map<std::string, Exchange, std::less<>> open_;
+  std::deque<std::string> carried_ids_;
+  core::Alarm alarm_;
+  Time idle_since_ = 0;
+  bool established_ = false, retired_ = false, over_ = false;
+};
+
+LinePool::LinePool(transport::Reactor& reactor, const LineBounds& bounds, core::Diary& diary)
+    : reactor_(reactor), bounds_(bounds), diary_(diary) {}
+LinePool::~LinePool() = default;
+
+void LinePool::forget(Link& link) {
+  Server& server = link.server();
+  const auto it = server.links.find(&link);
+  if (it == server.links.end()) return;
+  link.close();
+  --connections_;
+  // It may be the one that is calling: it goes when that call has returned. So does its server, after it.
+  reactor_.soon([this, gone = it->second, id = server.id, alive = std::weak_ptr(life_)] {
+    if (!alive.expired()) drop_if_unused(id);
+  });
+  server.links.erase(it);
+}
+
+void LinePool::reach(const ServerId& id, const std::string& address) {
+  auto& known = servers_[id];
+  if (!known) known = std::make_unique<Server>();
+  known->id = id;
+  if (known->address_text == address && (known->address || address.empty())) return drop_if_unused(id);
+  known->address_text = address;
+  known->address.reset();
+  if (!address.empty()) {
+    try {
+      known->address = transport::numeric_address(address);
+    } catch (const std::invalid_argument& wrong) {
+      diary_.line(core::Level::warning, "server cannot be reached",
+                  {{"server", id}, {"reason", wrong.what()}});
+    }
+  }
+  const auto links = known->links;
+  for (const auto& [link, held] : links) link->retire();
+  drop_if_unused(id);
+}
+
+// A server that is reached nowhere and has no connection left is forgotten.
+void LinePool::drop_if_unused(const ServerId& id) {
+  const auto it = servers_.find(id);
+  if (it != servers_.end() && it->second->address_text.empty() && it->second->links.empty())
+    reactor_.soon([gone = std::shared_ptr<Server>(std::move(it->second))] {}), servers_.erase(it);
+}
+
+void LinePool::close_idle(const ServerId& id) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) return;
+  const auto links = it->second->links;
+  for (const auto& [link, held] : links) {
+    if (link->open() == 0) forget(*link);
+  }
+}
+
+// An idle connection, the last used first; else a new one, since what is spoilt on a shared one costs its
+// neighbours; else the one with the fewest on it.
+LinePool::Link* LinePool::link_for(Server& server, const Exchange& exchange) {
+  for (;;) {
+    Link *idle = nullptr, *shared = nullptr;
+    for (const auto& [link, held] : server.links) {
+      if (!link->usable(exchange)) continue;
+      if (link->open() == 0) {
+        if (idle == nullptr || link->idle_since() >= idle->idle_since()) idle = link;
+      } else if (shared == nullptr || link->open() < shared->open()) {
+        shared = link;
+      }
+    }
+    if (idle != nullptr && !idle->sound()) {
+      forget(*idle);
+      continue;
+    }
+    if (idle != nullptr) return idle;
+    if (connections_ >= bounds_.connections && !make_room()) return shared;
+    const auto link = std::make_shared<Link>(*this, server);
+    server.links.emplace(link.get(), link);
+    return link.get();
+  }
+}
+
+// Closes the connection that has been idle longest, whichever server's it is.
+bool LinePool::make_room() {
+  Link* oldest = nullptr;
+  for (const auto& [id, server] : servers_) {
+    for (const auto& [link, held] : server->links) {
+      if (link->open() == 0 && (oldest == nullptr || link->idle_since() < oldest->idle_since()))
+        oldest = link;
+    }
+  }
+  if (oldest != nullptr) forget(*oldest);
+  return oldest != nullptr;
+}
+
+void LinePool::start(const ServerId& id, Exchange exchange) {
+  exchange.server = id;
+  const auto it = servers_.find(id);
+  if (it == servers_.end() || !it->second->address)
+    return fail_soon(std::move(exchange), Ending::no_connection);
+  Link* link = link_for(*it->second, exchange);
+  if (link == nullptr) return fail_soon(std::move(exchange), Ending::no_connection);
+  link->use(std::move(exchange));
+}
+
+void LinePool::fail_soon(Exchange exchange, Ending ending) {
+  auto failed = std::make_shared<Exchange>(std::move(exchange));
+  reactor_.soon([this, failed, ending, alive = std::weak_ptr(life_)] {
+    if (!alive.expired()) end(*failed, ending);
+  });
+}
+
+void LinePool::shoot(const core::ShotCall& call) {
+  const std::string* function = call.message.other("function");
+  start(call.server,
+        {.event = call.event,
+         .leg = call.leg,
+         .tag = call.message.id,
+         .bytes = lines::invoke(call.message.id, call.message.type, function == nullptr ? "" : *function,
+                                call.left, call.message.data)});
+}
+
+void LinePool::drop(EventId event, int leg) {
+  const auto it = shots_.find({event, leg});
+  if (it == shots_.end()) return;
+  it->second->give_up(event, leg);
+}
+
+void LinePool::probe(const ServerId& server, Time limit) {
+  const std::string tag = "p" + std::to_string(next_tag_++);
+  start(server, {.kind = Exchange::Kind::probe,
+                 .tag = tag,
+                 .bytes = bounds_.reports ? lines::gauges(tag) : lines::alive(tag),
+                 .limit = reactor_.now() + limit});
+}
+
+void LinePool::order(const ServerId& server, const FunctionId& function, int copies, Time limit) {
+  const std::string tag = "o" + std::to_string(next_tag_++);
+  start(server, {.kind = Exchange::Kind::order,
+                 .function = function,
+                 .tag = tag,
+                 .bytes = lines::prewarm(tag, function, copies),
+                 .limit = reactor_.now() + limit});
+}
+
+void LinePool::unload(const ServerId& server, const FunctionId& function) {
+  start(server, {.kind = Exchange::Kind::unload, .function = function, .bytes = lines::evict(function)});
+}
+
+void LinePool::answered(const Exchange& exchange, lines::Answer answer) {
+  using Kind = Exchange::Kind;
+  if (exchange.kind == Kind::shot) {
+    auto result = lines::shot_result(std::move(answer));
+    if (!result) return end(exchange, Ending::error);  // a word that answers no shot: it may have run
+    return carried_->shot_ended(exchange.event, exchange.leg, std::move(*result));
+  }
+  const bool good = answer.word == (exchange.kind == Kind::probe ? lines::Word::pong : lines::Word::hit) ||
+                    (exchange.kind == Kind::probe && answer.word == lines::Word::hit);
+  const Ending ending = good                               ? Ending::honoured
+                        : answer.word == lines::Word::shed ? Ending::turned_away
+                                                           : Ending::error;
+  if (exchange.kind == Kind::probe) return carried_->probe_ended(exchange.server, ending, answer.report);
+  carried_->order_ended(exchange.server, exchange.function, ending, answer.copies);
+}
+
+void LinePool::end(const Exchange& exchange, Ending ending) {
+  using Kind = Exchange::Kind;
+  if (exchange.kind == Kind::shot)
+    return carried_->shot_ended(exchange.event, exchange.leg, {.ending = ending});
+  if (exchange.kind == Kind::probe) return carried_->probe_ended(exchange.server, ending, {});
+  if (exchange.kind == Kind::order) carried_->order_ended(exchange.server, exchange.function, ending, 0);
+}
+
+}  // namespace rushhill::carrying
--- /dev/null
+++ b/src/carrying/line_pool.h
@@ -0,0 +1,75 @@
+// The way to the model servers over the platform's line protocol: connections that carry several requests,
+// their answers matched by id. Every shot, probe and order ends once, with what is known of it.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/ports.h"
+#include "lines/answers.h"
+#include "transport/numbered.h"
+#include "transport/reactor.h"
+
+namespace rushhill::carrying {
+
+struct LineBounds {
+  int shots_a_connection = 1;     // at once
+  std::size_t connections = 256;  // to all servers together
+  Time connect_limit = 0;         // tenths of a millisecond
+  Time idle = 0;                  // likewise; below the time after which servers close
+  bool reports = false;           // probes ask for the load report
+  lines::Bounds answers{};
+};
+
+class LinePool final : public core::Carrier {
+ public:
+  LinePool(transport::Reactor& reactor, const LineBounds& bounds, core::Diary& diary);
+  ~LinePool() override;
+  void report_to(core::Carried& carried) { carried_ = &carried; }
+
+  void shoot(const core::ShotCall& call) override;
+  void drop(EventId event, int leg) override;
+  void probe(const ServerId& server, Time limit) override;
+  void order(const ServerId& server, const FunctionId& function, int copies, Time limit) override;
+  void unload(const ServerId& server, const FunctionId& function) override;
+  void close_idle(const ServerId& server) override;
+  void reach(const ServerId& server, const std::string& address) override;
+
+  std::size_t connections() const { return connections_; }
+  std::size_t servers() const { return servers_.size(); }
+
+ private:
+  class Link;
+  struct Exchange;
+  struct Server {
+    ServerId id;
+    std::string address_text;
+    std::optional<transport::Address> address;
+    std::map<Link*, std::shared_ptr<Link>, transport::ByNumber> links;
+  };
+
+  void start(const ServerId& server, Exchange exchange);
+  Link* link_for(Server& server, const Exchange& exchange);
+  bool make_room();
+  void fail_soon(Exchange exchange, Ending ending);
+  void end(const Exchange& exchange, Ending ending);
+  void answered(const Exchange& exchange, lines::Answer answer);
+  void forget(Link& link);
+  void drop_if_unused(const ServerId& id);
+
+  transport::Reactor& reactor_;
+  LineBounds bounds_;
+  core::Diary& diary_;
+  core::Carried* carried_ = nullptr;
+  std::map<ServerId, std::unique_ptr<Server>> servers_;
+  std::map<std::pair<EventId, int>, Link*> shots_;
+  std::size_t connections_ = 0;
+  std::uint64_t next_tag_ = 1;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);  // what was put off is void when the pool is gone
+};
+
+}  // namespace rushhill::carrying
--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <stdexcept>
 
+#include "command/node.h"
 #include "command/send.h"
 #include "command/serve.h"
 #include "deployment/deployment_file.h"
@@ -190,6 +191,8 @@
   auto* on_serve = app.add_subcommand("serve", "run one router until SIGTERM");
   on_serve->add_option("deployment", file, "the deployment file (INI)")->required();
   on_serve->add_option("--tally", tally, "append the counts to this file at the end, as a line of JSON");
+  auto* on_node = app.add_subcommand(
+      "node", "run one router on the platform until SIGTERM, as the file that PROXY_CONFIG names tells");
   auto* on_check = app.add_subcommand("check", "check a deployment file and print what is in force");
   on_check->add_option("deployment", file, "the deployment file (INI)")->required();
 
@@ -300,6 +303,7 @@
   } catch (const CLI::ParseError& wrong) {
     return app.exit(wrong) == 0 ? 0 : 2;
   }
+  if (on_node->parsed()) return node();  // under the platform's limits as they are
   raise_descriptors();
   if (on_version->parsed()) std::cout << "rushhill " << version << '\n';
   if (on_serve->parsed()) return serve(deployment::read_file(file), tally);
--- /dev/null
+++ b/src/command/node.cpp
@@ -0,0 +1,63 @@
+#include "command/node.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <string>
+
+#include "log/diary.h"
+#include "node/node.h"
+#include "transport/loop.h"
+
+namespace rushhill::command {
+namespace {
+
+volatile std::sig_atomic_t asked_to_end = 0, asked_to_read = 0;
+void on_end(int) { asked_to_end = 1; }
+void on_read(int) { asked_to_read = 1; }
+
+node::Configuration read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in.is_open()) throw std::invalid_argument(path + ": cannot be read");
+  const std::string text{std::istreambuf_iterator<char>(in), {}};
+  try {
+    return node::read_configuration(text);
+  } catch (const told::BadField& wrong) {
+    throw std::invalid_argument(path + ": " + wrong.what());
+  }
+}
+
+}  // namespace
+
+int node() {
+  // Before anything else: a signal that comes early is kept until the loop runs.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, on_end);
+  std::signal(SIGINT, on_end);
+  std::signal(SIGHUP, on_read);
+  const char* path = std::getenv("PROXY_CONFIG");
+  if (path == nullptr)
+    throw std::invalid_argument("PROXY_CONFIG is not set: it names the configuration file");
+  const node::Configuration told = read_file(path);
+  log::Diary diary(log::Form::people, core::Level::info, told.name.empty() ? "node" : told.name);
+  transport::Loop reactor;
+  node::Node router(reactor, told, diary);
+  reactor.every_turn([&] {
+    if (asked_to_end != 0) router.wind_up([&] { reactor.halt(); });
+    if (asked_to_read == 0) return;
+    asked_to_read = 0;
+    try {
+      router.told_again(read_file(path));
+    } catch (const std::exception& wrong) {
+      diary.line(core::Level::error, "configuration not read: the old one stays", {{"reason", wrong.what()}});
+    }
+  });
+  reactor.run();
+  diary.line(core::Level::info, "ended", {{"open", std::to_string(router.gateway().open())}});
+  reactor.forget_all();
+  return 0;
+}
+
+}  // namespace rushhill::command
--- /dev/null
+++ b/src/fronts/fastcgi_front.cpp
@@ -0,0 +1,366 @@
+#include "fronts/fastcgi_front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace rushhill::fronts {
+namespace {
+
+using fastcgi::Ended;
+using fastcgi::Number;
+using fastcgi::Refusal;
+using transport::Loss;
+using transport::Stream;
+
+constexpr Time sweep_period = 1'000;   // tenths of a millisecond; short beside the spans below
+constexpr Time whole_within = 20'000;  // from a request's first byte to its last; a bad client is owed 3 s
+constexpr Time first_within = 20'000;  // from connecting to the first whole request, likewise
+constexpr Time idle_limit = 100'000;   // between requests; clients close after 4 s themselves
+constexpr Time settled = 2'000;        // an idle connection may be closed for another's sake from then on
+constexpr Time way_back = 10;          // from our answer to the client's reading it, taken off its time
+constexpr Time rounding = 10;          // a limit told in whole milliseconds may be that much above ours
+constexpr std::size_t id_digits = 16;
+constexpr double most_memory_mb = 1e6;    // of a copy; above any machine's
+constexpr double most_lanes = 1024;       // of a copy
+constexpr double most_load_ms = 600'000;  // above any order's limit
+constexpr std::string_view events_path = "/ops/";
+constexpr std::string_view health_path = "/alive";
+
+bool is_id(std::string_view text) {
+  return text.size() == id_digits &&
+         std::ranges::all_of(text, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+}
+
+template <typename Number>
+std::optional<Number> number_of(std::string_view text) {
+  Number value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// `memory_mb:512;lanes:2`. Names that we do not know must still be figures. False: not readable.
+bool read_facts(std::string_view text, Event& told) {
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(';'), text.size());
+    const std::string_view fact = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    const std::size_t colon = fact.find(':');
+    if (colon == std::string_view::npos || colon == 0) return false;
+    const std::string_view name = fact.substr(0, colon);
+    const auto value = number_of<double>(fact.substr(colon + 1));
+    if (!value || !std::isfinite(*value) || *value < 0) return false;
+    if (name == "memory_mb") {
+      if (*value > most_memory_mb) return false;
+      told.memory_mb = *value;
+    } else if (name == "lanes") {
+      if (*value < 1 || *value > most_lanes) return false;
+      told.lanes = *value;
+    } else if (name == "load_ms") {
+      if (*value > most_load_ms) return false;
+      told.load_time = static_cast<Time>(std::ceil(*value * 10));
+    }
+  }
+  return true;
+}
+
+// An answer as a CGI response.
+std::string response(int status, const char* phrase, const std::string& fields, std::string_view body) {
+  std::string out = "Status: " + std::to_string(status) + " " + phrase + "\r\n" + fields;
+  out += "Content-Type: application/octet-stream\r\nContent-Length: " + std::to_string(body.size());
+  return out.append("\r\n\r\n").append(body);
+}
+
+}  // namespace
+
+Asked read_request(const Deployment& deployment, fastcgi::Request request) {
+  Asked asked;
+  const auto no = [&](int status, std::string reason) {
+    asked.status = status;
+    asked.reason = std::move(reason);
+    return std::move(asked);
+  };
+  for (const char* name : {"SCRIPT_NAME", "HTTP_X_JOB_ID", "HTTP_X_ALLOW_MS", "HTTP_X_TEAM", "HTTP_X_ITEM",
+                           "HTTP_X_FACTS", "CONTENT_LENGTH"}) {
+    if (request.repeats(name)) return no(400, std::string(name) + " is there twice");
+  }
+  const std::string* path = request.param("SCRIPT_NAME");
+  if (path == nullptr || !path->starts_with(events_path)) return no(404, "no such place");
+  const std::string type = path->substr(events_path.size());
+  const auto known = std::ranges::find(deployment.traffic_types, type, &TrafficType::name);
+  if (known == deployment.traffic_types.end()) return no(404, "unknown class");
+  const std::string* id = request.param("HTTP_X_JOB_ID");
+  if (id == nullptr || !is_id(*id)) return no(400, "X-Job-Id is not 16 hex digits");
+  const std::string* item = request.param("HTTP_X_ITEM");
+  if (item == nullptr || !is_id(*item)) return no(400, "X-Item is not 16 hex digits");
+  const std::string* allow = request.param("HTTP_X_ALLOW_MS");
+  const auto allowed = allow == nullptr ? std::nullopt : number_of<std::int64_t>(*allow);
+  if (!allowed || *allowed <= 0) return no(400, "X-Allow-Ms is not a number above 0");
+  // Compared before it is multiplied: it may be any number.
+  if (*allowed > (known->hard_limit + rounding) / 10)
+    return no(400, "X-Allow-Ms is beyond the class's deadline");
+  const std::string* team = request.param("HTTP_X_TEAM");
+  const bool named = team != nullptr && std::ranges::find(deployment.customers, *team, &Customer::name) !=
+                                            deployment.customers.end();
+  if (!named && !deployment.customers.empty()) return no(400, "X-Team is not a tenant");
+  const std::string* facts = request.param("HTTP_X_FACTS");
+  if (facts != nullptr && !read_facts(*facts, asked.told)) return no(400, "X-Facts holds what is no figure");
+  const std::string* length = request.param("CONTENT_LENGTH");
+  if (length != nullptr && !length->empty()) {
+    const auto bytes = number_of<std::uint64_t>(*length);
+    if (!bytes || *bytes != request.body.size()) return no(400, "CONTENT_LENGTH is not the body's");
+  }
+  asked.told.traffic_type = type;
+  if (named) asked.told.customer = *team;
+  asked.told.function = *item;
+  asked.told.left = std::max<Time>(*allowed * 10 - way_back, 1);
+  asked.message.id = *id;
+  asked.message.type = type;
+  asked.message.others["function"] = *item;
+  asked.message.data = std::move(request.body);
+  return asked;
+}
+
+class FastCgiFront::Connection final : public transport::StreamUser,
+                                       public transport::Numbered,
+                                       private core::Client,
+                                       private fastcgi::Taker {
+ public:
+  Connection(FastCgiFront& front, const transport::Arrival& arrival)
+      : front_(front), reader_(*this, front.rules_.bounds), quiet_since_(front.reactor_.now()) {
+    stream_ = Stream::adopt(front.reactor_, arrival, *this);
+  }
+  ~Connection() override { leave(); }
+
+  // Its events have no client any more.
+  void leave() {
+    if (std::exchange(gone_, true)) return;
+    stream_->close();
+    for (const auto& [event, request] : std::exchange(open_, {})) {
+      front_.open_ids_.erase(request.id);
+      front_.gateway_.client_gone(event);
+    }
+  }
+
+  bool spare(Time now) const {
+    return open_.empty() && !reader_.unfinished_since() && stream_->waiting() == 0 &&
+           now - quiet_since_ >= settled;
+  }
+  Time quiet_since() const { return quiet_since_; }
+  bool silent() const { return !asked_; }
+  bool all_sent() const { return stream_->waiting() == 0; }
+
+  // Nothing: it may stay. Else why it is to be closed.
+  const char* outstayed(Time now) const {
+    const auto since = reader_.unfinished_since();
+    if (since && now - *since >= whole_within) return "half a request";
+    if (closing_) return now - quiet_since_ >= settled ? "answered and not left" : nullptr;
+    if (!open_.empty()) return nullptr;
+    if (!asked_ && now - quiet_since_ >= first_within) return "silent";
+    return now - quiet_since_ >= idle_limit ? "idle" : nullptr;
+  }
+
+  void arrived(std::string_view bytes) override {
+    if (closing_) return;  // what comes after the last answer
+    const auto self = front_.connections_.at(this);
+    reader_.put(bytes, front_.reactor_.now());
+    if (!gone_ && stream_->waiting() > front_.rules_.unread) front_.forget(*this);
+  }
+  void lost(Loss) override { front_.forget(*this); }
+
+ private:
+  struct Open {
+    Number number = 0;
+    bool keep = true;
+    std::string id{};
+  };
+
+  // fastcgi::Taker
+  void request(Number number, fastcgi::Request request) override {
+    asked_ = true;
+    const bool keep = request.keep;
+    const std::string* path = request.param("SCRIPT_NAME");
+    if (path != nullptr && *path == health_path) {
+      reader_.ended(number);
+      return reply(
+          number, keep,
+          front_.ready_ ? response(200, "OK", "", "ok") : response(503, "Service Unavailable", "", ""));
+    }
+    Asked asked = read_request(front_.gateway_.deployment(), std::move(request));
+    if (asked.status == 0 && front_.open_ids_.contains(asked.message.id)) {
+      asked.status = 409;
+      asked.reason = "X-Job-Id is open already";
+    }
+    if (asked.status != 0) {
+      reader_.ended(number);
+      return reply(number, keep, response(asked.status, "Bad Request", "", asked.reason));
+    }
+    const std::string id = asked.message.id;
+    const auto event = front_.gateway_.take(front_.source_, *this, asked.told, std::move(asked.message));
+    if (!event) {
+      reader_.ended(number);
+      return reply_overloaded(number, keep);
+    }
+    open_.emplace(*event, Open{number, keep, id});
+    front_.open_ids_.insert(id);
+  }
+  void refused(Number number, Refusal why, bool keep) override {
+    asked_ = true;
+    switch (why) {
+      case Refusal::unknown_role:
+        return write(fastcgi::end_request(number, Ended::unknown_role, 0), keep);
+      case Refusal::too_many:
+        return reply_overloaded(number, keep);
+      case Refusal::params_too_large:
+        return reply(number, keep,
+                     response(431, "Request Header Fields Too Large", "", "too many parameters"));
+      case Refusal::params_unreadable:
+        return reply(number, keep, response(400, "Bad Request", "", "parameters cannot be read"));
+      case Refusal::body_too_large:
+        return reply(number, keep, response(413, "Content Too Large", "", "a body holds 16 KiB at most"));
+    }
+  }
+  void aborted(Number number, bool whole) override {
+    if (whole) {
+      const auto it =
+          std::ranges::find_if(open_, [&](const auto& item) { return item.second.number == number; });
+      if (it != open_.end()) {
+        const EventId event = it->first;
+        const Open request = close(event);
+        front_.gateway_.client_gone(event);
+        if (!gone_) write(fastcgi::end_request(number, Ended::complete, 1), request.keep);
+        return;
+      }
+    }
+    write(fastcgi::end_request(number, Ended::complete, 1), true);
+  }
+  void values_asked(const std::vector<std::string>& names) override {
+    std::vector<std::pair<std::string, std::string>> values;
+    for (const std::string& name : names) {
+      if (name == "FCGI_MAX_CONNS") values.emplace_back(name, std::to_string(front_.rules_.connections));
+      if (name == "FCGI_MAX_REQS")
+        values.emplace_back(name, std::to_string(front_.rules_.connections * front_.rules_.bounds.open));
+      if (name == "FCGI_MPXS_CONNS") values.emplace_back(name, "1");
+    }
+    write(fastcgi::values_result(values), true);
+  }
+  void type_unknown(std::uint8_t type) override { write(fastcgi::unknown_type(type), true); }
+  void broken(const char* why) override {
+    front_.diary_.line(core::Level::debug, "client cannot be read", {{"reason", why}});
+    front_.forget(*this);
+  }
+
+  // core::Client
+  void honoured(EventId event, events::CloudEvent answer) override {
+    const Open request = close(event);
+    reply(request.number, request.keep, response(200, "OK", "", answer.data));
+  }
+  void shed(EventId event, Time come_back) override {
+    const Open request = close(event);
+    const std::string wait =
+        come_back > 0 ? "X-Wait-Ms: " + std::to_string((come_back + 9) / 10) + "\r\n" : std::string();
+    reply(request.number, request.keep, response(503, "Service Unavailable", wait, ""));
+  }
+  void abandoned(EventId event) override {
+    const Open request = close(event);
+    reply(request.number, request.keep, response(504, "Gateway Timeout", "", ""));
+  }
+
+  Open close(EventId event) {
+    const auto it = open_.find(event);
+    Open request = std::move(it->second);
+    open_.erase(it);
+    reader_.ended(request.number);
+    front_.open_ids_.erase(request.id);
+    return request;
+  }
+  void reply(Number number, bool keep, const std::string& text) {
+    write(fastcgi::answer(number, text), keep);
+  }
+  void reply_overloaded(Number number, bool keep) {
+    write(fastcgi::end_request(number, Ended::overloaded, 0), keep);
+  }
+  void write(const std::string& bytes, bool keep) {
+    if (gone_) return;
+    quiet_since_ = front_.reactor_.now();
+    stream_->write(bytes);
+    if (keep || !open_.empty()) return;
+    closing_ = true;
+    stream_->finish();
+  }
+
+  FastCgiFront& front_;
+  std::shared_ptr<Stream> stream_;
+  fastcgi::Reader reader_;
+  std::map<EventId, Open> open_;
+  Time quiet_since_;
+  bool asked_ = false, closing_ = false, gone_ = false;
+};
+
+FastCgiFront::FastCgiFront(transport::Reactor& reactor, core::Gateway& gateway, core::Diary& diary,
+                           const FastCgiRules& rules)
+    : reactor_(reactor), gateway_(gateway), diary_(diary), rules_(rules), source_(gateway.add_source(1)) {
+  sweep();
+}
+FastCgiFront::~FastCgiFront() {
+  reactor_.withdraw(alarm_);
+  while (!connections_.empty()) forget(*connections_.begin()->first);
+}
+
+transport::Address FastCgiFront::listen(const transport::Address& address) {
+  listener_ = std::make_unique<transport::Listener>(reactor_, address, false,
+                                                    [this](const auto& arrival) { accept(arrival); });
+  return listener_->address();
+}
+
+void FastCgiFront::accept(const transport::Arrival& arrival) {
+  if (connections_.size() >= rules_.connections && !make_room()) {
+    diary_.line(core::Level::warning, "connection refused: too many", {});
+    return arrival.refuse();
+  }
+  const auto connection = std::make_shared<Connection>(*this, arrival);
+  connections_.emplace(connection.get(), connection);
+}
+
+// Closes the connection that has been quiet longest, one that never asked before all others.
+bool FastCgiFront::make_room() {
+  const Time now = reactor_.now();
+  Connection* longest = nullptr;
+  for (const auto& [connection, held] : connections_) {
+    if (!connection->spare(now)) continue;
+    const auto order = [](const Connection& one) { return std::pair(!one.silent(), one.quiet_since()); };
+    if (longest == nullptr || order(*connection) < order(*longest)) longest = connection;
+  }
+  if (longest != nullptr) forget(*longest);
+  return longest != nullptr;
+}
+
+void FastCgiFront::forget(Connection& connection) {
+  const auto it = connections_.find(&connection);
+  if (it == connections_.end()) return;
+  // It may be the one that is calling: it goes when that call has returned.
+  reactor_.soon([gone = it->second] {});
+  const auto held = it->second;
+  connections_.erase(it);
+  held->leave();
+}
+
+void FastCgiFront::sweep() {
+  alarm_ = reactor_.at(reactor_.now() + sweep_period, [this] { sweep(); });
+  const Time now = reactor_.now();
+  std::vector<Connection*> outstayed;
+  for (const auto& [connection, held] : connections_) {
+    if (connection->outstayed(now) != nullptr) outstayed.push_back(connection);
+  }
+  for (Connection* connection : outstayed) forget(*connection);
+}
+
+bool FastCgiFront::all_sent() const {
+  return std::ranges::all_of(connections_, [](const auto& item) { return item.first->all_sent(); });
+}
+
+}  // namespace rushhill::fronts
--- /dev/null
+++ b/src/fronts/fastcgi_front.h
@@ -0,0 +1,65 @@
+// The platform's clients over FastCGI: turns requests into events for the core and outcomes into answers.
+// Decides nothing about servers. `docs/platform.md` is what is spoken.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/gateway.h"
+#include "fastcgi/records.h"
+#include "transport/numbered.h"
+#include "transport/reactor.h"
+
+namespace rushhill::fronts {
+
+struct FastCgiRules {
+  std::size_t connections = 256;    // at once
+  std::size_t unread = 256 * 1024;  // bytes of answers that a client has not read
+  fastcgi::Bounds bounds{};
+};
+
+// What a request says of its event, or why it can't be one: the HTTP status and the reason.
+struct Asked {
+  Event told{};
+  events::CloudEvent message{};
+  int status = 0;  // 0: it can be taken
+  std::string reason{};
+};
+Asked read_request(const Deployment& deployment, fastcgi::Request request);
+
+class FastCgiFront {
+ public:
+  FastCgiFront(transport::Reactor& reactor, core::Gateway& gateway, core::Diary& diary,
+               const FastCgiRules& rules);
+  ~FastCgiFront();
+  FastCgiFront(const FastCgiFront&) = delete;
+  FastCgiFront& operator=(const FastCgiFront&) = delete;
+
+  transport::Address listen(const transport::Address& address);
+  void ready(bool on) { ready_ = on; }  // what /alive says
+  void stop_listening() { listener_.reset(); }
+  std::size_t connections() const { return connections_.size(); }
+  bool all_sent() const;
+
+ private:
+  class Connection;
+  void accept(const transport::Arrival& arrival);
+  bool make_room();
+  void forget(Connection& connection);
+  void sweep();
+
+  transport::Reactor& reactor_;
+  core::Gateway& gateway_;
+  core::Diary& diary_;
+  FastCgiRules rules_;
+  taking::Shares::Source source_;
+  bool ready_ = false;
+  std::unique_ptr<transport::Listener> listener_;
+  std::map<Connection*, std::shared_ptr<Connection>, transport::ByNumber> connections_;
+  std::set<std::string> open_ids_;
+  core::Alarm alarm_;
+};
+
+}  // namespace rushhill::fronts
--- /dev/null
+++ b/src/membership/board_words.cpp
@@ -0,0 +1,55 @@
+#include "membership/board_words.h"
+
+#include <array>
+#include <string>
+
+namespace rushhill::membership {
+namespace {
+
+constexpr std::array condition_words{"active", "leaving", "left"};
+
+core::RosterEntry read_host(const told::Json& json, Time wall_offset) {
+  const told::Fields fields(json, "hosts");
+  core::RosterEntry entry;
+  entry.server.id = fields.text("host");
+  entry.server.condition = fields.word<Condition>("health", condition_words);
+  entry.address = fields.text("dial", "");
+  entry.server.location = fields.text("site", "");
+  entry.server.kind = fields.text("class", "");
+  entry.server.cell = static_cast<int>(fields.whole("block", 0));
+  entry.server.rating = fields.number("share", 1);
+  const std::int64_t born = fields.whole("born_ms", 0);
+  entry.server.started = born == 0 ? 0 : born * 10 - wall_offset;
+  return entry;
+}
+
+}  // namespace
+
+Notice read_notice(const told::Json& event, Time wall_offset) {
+  const told::Fields fields(event);
+  Notice notice;
+  notice.number = fields.whole("rev");
+  const told::Fields pool = fields.object("pool");
+  notice.whole = pool.flag("whole");
+  for (const told::Json& host : pool.list("hosts")) notice.entries.push_back(read_host(host, wall_offset));
+  return notice;
+}
+
+// An event, or the last number alone, bare or as the event's own field.
+Notice read_line(std::string_view text, Time wall_offset) {
+  const told::Json json = told::Json::parse(text, nullptr, false);
+  if (json.is_discarded()) throw told::BadField("not JSON");
+  if (json.is_number_integer()) return {.number = json.get<std::int64_t>(), .beat = true};
+  const told::Fields fields(json);
+  if (fields.find("pool") == nullptr) return {.number = fields.whole("rev"), .beat = true};
+  return read_notice(json, wall_offset);
+}
+
+Known read_known(const told::Fields& known, Time wall_offset) {
+  Known read{.number = known.whole("rev")};
+  for (const told::Json& notice : known.list("notices"))
+    read.notices.push_back(read_notice(notice, wall_offset));
+  return read;
+}
+
+}  // namespace rushhill::membership
--- /dev/null
+++ b/src/membership/board_words.h
@@ -0,0 +1,32 @@
+// The platform's notice board without any transport: its events, one JSON object a line, and the
+// configuration's `known`, which holds those of the start.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "core/ports.h"
+#include "decide.h"
+#include "told/fields.h"
+
+namespace rushhill::membership {
+
+struct Notice {
+  std::int64_t number = 0;
+  bool beat = false;   // no event: the board's last number, told each second
+  bool whole = false;  // else what has changed
+  std::vector<core::RosterEntry> entries{};
+};
+
+// `wall_offset`: what is taken off a Unix time in tenths of a millisecond to get this process's clock.
+// All throw told::BadField.
+Notice read_notice(const told::Json& event, Time wall_offset);
+Notice read_line(std::string_view text, Time wall_offset);
+struct Known {
+  std::int64_t number = 0;  // of the last event
+  std::vector<Notice> notices{};
+};
+Known read_known(const told::Fields& known, Time wall_offset);
+
+}  // namespace rushhill::membership
--- /dev/null
+++ b/src/node/configuration.cpp
@@ -0,0 +1,60 @@
+#include "node/configuration.h"
+
+#include <charconv>
+#include <stdexcept>
+
+#include "told/deployment.h"
+#include "transport/reactor.h"
+
+namespace rushhill::node {
+namespace {
+
+constexpr std::size_t fewest_sockets = 32;  // descriptors; below that nothing can be served
+
+std::string address(const told::Fields& fields, const char* name) {
+  const std::string text = fields.text(name);
+  try {
+    transport::numeric_address(text);
+  } catch (const std::invalid_argument& wrong) {
+    throw told::BadField(std::string("field '") + name + "': " + wrong.what());
+  }
+  return text;
+}
+
+std::uint64_t seed_of(const std::string& text) {
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc{} || end != text.data() + text.size())
+    throw told::BadField("field 'seed' is not a number in hex digits");
+  return seed;
+}
+
+}  // namespace
+
+Configuration read_configuration(const std::string& text) {
+  const told::Json json = told::Json::parse(text, nullptr, false);
+  if (json.is_discarded()) throw told::BadField("not JSON");
+  const told::Fields fields(json);
+  Configuration read;
+  read.name = fields.text("name", "");
+  read.listen = address(fields, "listen");
+  read.seed = seed_of(fields.text("seed"));
+  const told::Fields limits = fields.object("limits");
+  const std::int64_t sockets = limits.whole("sockets");
+  if (sockets < static_cast<std::int64_t>(fewest_sockets))
+    throw told::BadField("field 'limits.sockets' is below " + std::to_string(fewest_sockets));
+  read.sockets = static_cast<std::size_t>(sockets);
+  const std::int64_t memory = limits.whole("memory_mb", 0);
+  read.memory_mb = memory > 0 ? static_cast<std::size_t>(memory) : 0;
+  read.module = told::read_deployment(fields.object("settings"));
+  if (read.module.peers) {
+    read.peer_listen = address(fields, "peer_listen");
+    read.peers = fields.texts("peers");
+    read.peers_all = fields.text("peers_all", "");
+  }
+  read.board = address(fields, "board");
+  read.known = fields.need("known");
+  return read;
+}
+
+}  // namespace rushhill::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,103 @@
+#include "node/node.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "membership/roster_client.h"
+
+namespace rushhill::node {
+namespace {
+
+constexpr Time look_every = 100;  // tenths of a millisecond between looks whether all is wound up
+constexpr Time still_coming =
+    8'000;  // requests may come for 0.6 s after the word to end, and count until 0.7 s
+constexpr Time over_limit = 2'000;  // beyond the longest hard limit nothing is open any more
+
+// Of the descriptors told: what clients hold, what goes to servers; the rest is for listening, board, peers,
+// log, and for connections on their way out.
+constexpr double client_part = 0.44, server_part = 0.42;
+
+constexpr double idle_part = 0.66;  // of the time after which servers close: ours close before
+
+class NoPeers final : public core::Peers {
+ public:
+  void tell(int, const std::string&) override {}
+} no_peers;
+
+std::size_t part_of(std::size_t sockets, double part) {
+  return static_cast<std::size_t>(static_cast<double>(sockets) * part);
+}
+
+}  // namespace
+
+Node::Node(transport::Reactor& reactor, const Configuration& told, core::Diary& diary)
+    : reactor_(reactor), diary_(diary),
+      pool_(reactor,
+            {.shots_a_connection = std::max(told.module.shots_a_connection, 1),
+             .connections = part_of(told.sockets, server_part),
+             .connect_limit = told.module.connect_limit > 0 ? told.module.connect_limit : 2'500,
+             .idle = static_cast<Time>(static_cast<double>(told.module.connection_idle) * idle_part),
+             .reports = told.module.reports != "" && told.module.reports != "none"},
+            diary),
+      peers_(!told.module.peers
+                 ? nullptr
+                 : std::make_unique<transport::BarePeers>(
+                       reactor, transport::numeric_address(told.peer_listen), told.module.me, told.peers,
+                       told.peers_all,
+                       [this](int router, const std::string& bytes) { gateway_.peer_told(router, bytes); })),
+      board_(std::make_unique<membership::BoardClient>(
+          reactor, transport::numeric_address(told.board), told::Fields(told.known, "known").whole("rev"),
+          told.seed, diary,
+          [this](RosterForm form, const std::vector<core::RosterEntry>& entries) {
+            gateway_.roster(form, entries);
+          })),
+      gateway_(told.module, told.seed,
+               {.clock = reactor,
+                .carrier = pool_,
+                .peers = peers_ ? static_cast<core::Peers&>(*peers_) : no_peers,
+                .roster = *board_,
+                .diary = diary}),
+      front_(reactor, gateway_, diary, {.connections = part_of(told.sockets, client_part)}) {
+  pool_.report_to(gateway_);
+  const membership::Known known =
+      membership::read_known(told::Fields(told.known, "known"), membership::wall_offset_now(reactor));
+  // A start brings the list as it was last held, whole, though it may be empty.
+  bool first = true;
+  for (const membership::Notice& notice : known.notices) {
+    const bool whole = std::exchange(first, false) || notice.whole;
+    gateway_.roster(whole ? RosterForm::remembered : RosterForm::changes, notice.entries);
+  }
+  if (first) gateway_.roster(RosterForm::remembered, {});
+  if (!told.module.roster_on_request) board_->follow(true);
+  for (const TrafficType& type : told.module.traffic_types)
+    longest_limit_ = std::max(longest_limit_, type.hard_limit);
+  front_.ready(true);
+  address_ = front_.listen(transport::numeric_address(told.listen));
+  diary.line(core::Level::info, "serving", {{"address", address_.toString()}, {"name", told.name}});
+}
+Node::~Node() = default;
+
+void Node::told_again(const Configuration& told) {
+  diary_.line(core::Level::info, "configuration read again", {{"board", told.board}});
+  board_->move_to(transport::numeric_address(told.board));
+}
+
+void Node::wind_up(std::function<void()> ended) {
+  if (end_by_ != 0) return;
+  requests_until_ = reactor_.now() + still_coming;
+  end_by_ = requests_until_ + longest_limit_ + over_limit;
+  diary_.line(core::Level::info, "winding up", {{"open", std::to_string(gateway_.open())}});
+  wait_for_end(ended);
+}
+
+void Node::wait_for_end(const std::function<void()>& ended) {
+  const Time now = reactor_.now();
+  if (now >= requests_until_) front_.stop_listening();
+  if (now >= end_by_ || (now >= requests_until_ && gateway_.open() == 0 && front_.all_sent())) return ended();
+  reactor_.at(now + look_every, [this, ended, alive = std::weak_ptr(life_)] {
+    if (!alive.expired()) wait_for_end(ended);
+  });
+}
+
+}  // namespace rushhill::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,50 @@
+// One router on the platform put together: FastCGI front, core, line pool, notice board and peers on one
+// reactor. What `rushhill node` runs, and the end-to-end tests.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "carrying/line_pool.h"
+#include "core/gateway.h"
+#include "fronts/fastcgi_front.h"
+#include "membership/board_client.h"
+#include "node/configuration.h"
+#include "transport/bare_peers.h"
+
+namespace rushhill::node {
+
+class Node {
+ public:
+  // Listens at once; throws where an address cannot be had.
+  Node(transport::Reactor& reactor, const Configuration& told, core::Diary& diary);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  transport::Address address() const { return address_; }
+  core::Gateway& gateway() { return gateway_; }
+  carrying::LinePool& pool() { return pool_; }
+
+  // The configuration has been replaced: follows the board to its address. Nothing else may change.
+  void told_again(const Configuration& told);
+  // Goes on through the span in which requests still come, then ends once all is answered.
+  void wind_up(std::function<void()> ended);
+
+ private:
+  void wait_for_end(const std::function<void()>& ended);
+
+  transport::Reactor& reactor_;
+  core::Diary& diary_;
+  carrying::LinePool pool_;
+  std::unique_ptr<transport::BarePeers> peers_;
+  std::unique_ptr<membership::BoardClient> board_;
+  core::Gateway gateway_;
+  fronts::FastCgiFront front_;
+  transport::Address address_;
+  Time requests_until_ = 0, end_by_ = 0;
+  Time longest_limit_ = 0;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+};
+
+}  // namespace rushhill::node
--- /dev/null
+++ b/src/told/deployment.h
@@ -0,0 +1,16 @@
+// The settings that a router is told at its start, and the entries of a list of model servers, by the names
+// of the simulator's wire. The adapter and the node read them with this one text, so that they cannot drift.
+#pragma once
+
+#include <vector>
+
+#include "decide.h"
+#include "told/fields.h"
+
+namespace rushhill::told {
+
+// Times come in nanoseconds. Throws BadField.
+Deployment read_deployment(const Fields& info);
+ModelServer read_server(const Json& entry);
+
+}  // namespace rushhill::told
--- /dev/null
+++ b/src/transport/bare_peers.h
@@ -0,0 +1,37 @@
+// Short messages between routers as bare datagrams: the module's bytes alone, the sender known by its
+// address.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ports.h"
+#include "transport/reactor.h"
+
+namespace rushhill::transport {
+
+class BarePeers final : public core::Peers {
+ public:
+  using Heard = std::function<void(int router, const std::string& bytes)>;
+  // `addresses` by router number, our own among them; `all`: one address that reaches every router.
+  BarePeers(Reactor& reactor, const Address& listen, int me, const std::vector<std::string>& addresses,
+            const std::string& all, Heard heard);
+  void tell(int router, const std::string& bytes) override;
+  std::uint64_t dropped() const { return dropped_; }
+  Address address() const { return datagrams_.address(); }
+
+ private:
+  void hear(const Address& from, std::string_view bytes);
+
+  int me_;
+  std::vector<Address> addresses_;
+  std::optional<Address> all_;
+  Heard heard_;
+  Datagrams datagrams_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace rushhill::transport
