--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,6 +46,7 @@
 constexpr double home_excess = 2.2;   // times an even share; what hashes and a burst may bring to one home
 constexpr double cold_part = 0.9;     // share of the rule's budget; leaves room for chance and skew
 constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
+constexpr int cuts_of_death = 3;      // connections lost in a row; a process that dies loses all it has
 constexpr double learn = 0.05;        // weight of a new answer; some twenty answers make the mean
 constexpr double load_worth = 0.5;    // of an event's importance; a load makes about that many late
 constexpr std::size_t order_cap = 4;  // orders pending; a store shared by all is soon crowded
@@ -113,6 +114,8 @@
   int open = 0;                    // own shots out
   double ease = 1;                 // part of its weight that it bears with ease
   Time gone_at = 0, reborn = 0;    // left the list; last sign that the process died: what answers is cold
+  int cuts = 0;                    // connections lost or refused since anything was answered
+  Time answered = 0;               // last time that something was
   Time unanswered_since = 0;       // first send after the last answer; 0: none out
   Time no_loads_until = 0;         // turned work away that it would have to load for
   Time probe_turn = 0, noted = 0;  // last turn to probe it; when peers last told of it or were told
@@ -284,8 +287,7 @@
   void probe_ended(Time now, const ProbeEnd& end) override {
     const auto it = servers_.find(end.server);
     if (it == servers_.end()) return;
-    if (end.ending == Ending::no_connection || end.ending == Ending::connection_lost)
-      seems_dead(now, it->second);
+    note_contact(now, it->second, end.ending);
     const auto busy = end.report.find("util");
     if (busy == end.report.end()) return;
     weigh_use(it->second, busy->second);
@@ -628,7 +630,7 @@
     } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
       entry.confirmed = false;
     }
-    if (end.ending == Ending::connection_lost || end.ending == Ending::no_connection) seems_dead(now, server);
+    note_contact(now, server, end.ending);
     if (const auto use = end.report.find("util"); use != end.report.end()) weigh_use(server, use->second);
     const bool stood = d_.tells_warm ? end.warmth == Warmth::found : end.ending == Ending::honoured;
     if (stood || (end.ending == Ending::turned_away && shot.confirmed)) {
@@ -651,8 +653,18 @@
     if (busy_usual_ > 0) weigh(server, busy / busy_usual_ - 1);
   }
 
-  // A server whose connections fail or break has died: it holds nothing, and what answers there next is cold,
-  // long before the roster says so. It could be a cut connection: then it gets little for a while.
+  // A server whose connections fail or break has died. Where it has answered just now it may be a connection
+  // that was cut on its way, and the server as warm as it was: then only all of them in a row tell.
+  void note_contact(Time now, Server& server, Ending ending) {
+    if (ending == Ending::connection_lost || ending == Ending::no_connection) {
+      const bool lively = server.answered != 0 && now - server.answered <= second;
+      if (++server.cuts >= cuts_of_death || !lively) seems_dead(now, server);
+    } else if (ending != Ending::no_answer && ending != Ending::called_off && ending != Ending::not_sent) {
+      server.cuts = 0, server.answered = now;
+    }
+  }
+
+  // What has died holds nothing, and what answers there next is cold, long before the roster says so.
   void seems_dead(Time now, Server& server) {
     server.reborn = now;
     forget_copies(server.told.id);
--- a/tests/carrying/line_pool_test.cpp
+++ b/tests/carrying/line_pool_test.cpp
@@ -158,6 +158,22 @@
   EXPECT_EQ(ends.shots[0].ending, Ending::no_connection);
 }
 
+// A reset in the very moment of connecting says nothing of the server: no byte had left.
+TEST_F(LineStory, AConnectionCutOnItsWayUpIsTriedOnceMore) {
+  int arrivals = 0;
+  transport::Listener cutting(reactor, transport::numeric_address("127.0.0.1:0"), false,
+                              [&](const transport::Arrival& arrival) {
+                                server.peers.push_back(std::make_unique<RawPeer>(reactor, arrival));
+                                if (++arrivals % 2 == 1) server.peers.back()->stream->reset();
+                              });
+  pool.reach("a", cutting.address().toString());
+  shoot(1);
+  ASSERT_TRUE(pump.until([&] { return arrivals >= 1; }));
+  ASSERT_TRUE(pump.until([&] { return arrivals == 2 || !ends.shots.empty(); }));
+  for (const Ends::Shot& shot : ends.shots)
+    EXPECT_EQ(shot.ending, Ending::connection_lost) << "a byte had left";
+}
+
 TEST_F(LineStory, AConnectionThatEndedWhileIdleCostsNoShot) {
   server.on_bytes = [&](RawPeer& peer) {
     if (peer.seen.find("id1 ") != std::string::npos) peer.stream->write(hit(1, "one"));
