--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,6 +46,7 @@
 constexpr double home_excess = 2.2;   // times an even share; what hashes and a burst may bring to one home
 constexpr double cold_part = 0.9;     // share of the rule's budget; leaves room for chance and skew
 constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
+constexpr int refusals_of_shut = 3;   // turned away in a row; a full server still honours some between
 constexpr int cuts_of_death = 3;      // connections lost in a row; a process that dies loses all it has
 constexpr double learn = 0.05;        // weight of a new answer; some twenty answers make the mean
 constexpr double load_worth = 0.5;    // of an event's importance; a load makes about that many late
@@ -118,6 +119,8 @@
   Time answered = 0;               // last time that something was
   Time unanswered_since = 0;       // first send after the last answer; 0: none out
   Time no_loads_until = 0;         // turned work away that it would have to load for
+  Time shut_until = 0;             // turns all away, as what drains does before the roster says so
+  int refusals = 0;                // turned away since it honoured anything
   Time probe_turn = 0, noted = 0;  // last turn to probe it; when peers last told of it or were told
   Past past{second};
   SpanRing sent;  // events sent, for the rule on cold servers
@@ -463,8 +466,8 @@
     // A load beside a sound server that holds the function would only be a further copy.
     const bool held = function.hot_homes > 0 || std::ranges::any_of(function.homes, [&](const auto& home) {
                         const Shot* earlier = shot_at(pending, home.second->told.id);
-                        const bool sound =
-                            !home.second->aside && (earlier == nullptr || !earlier->may_have_run);
+                        const bool sound = !home.second->aside && now >= home.second->shut_until &&
+                                           (earlier == nullptr || !earlier->may_have_run);
                         return sound && entered_at(*home.second);
                       });
     // First without the servers that failed this event or are set aside, then with what there is.
@@ -476,6 +479,7 @@
         if (!may_receive(*server) || !may_shoot(now, pending, *server)) continue;
         const Shot* earlier = shot_at(pending, server->told.id);
         if (choosy && earlier != nullptr && earlier->may_have_run) continue;
+        if (choosy && now < server->shut_until) continue;
         if (choosy && server->aside && !trickles(pending, *server)) continue;
         if (!cold_room(now, *server, pending)) continue;
         const bool entered = entered_at(*server);
@@ -620,6 +624,7 @@
       entry.confirmed = true;
       entry.used = now;
       server.past.at(now).honoured += 1;
+      server.refusals = 0, server.shut_until = 0;
       moves_ = std::min(moves_ + move_share, move_burst);
       learn_times(now, pending, function, server, shot, end);
     } else if (end.ending == Ending::turned_away) {
@@ -627,6 +632,11 @@
       // the loads that are too many, a slow store behind them: copies that stand still serve.
       weigh(server, 1);
       server.no_loads_until = now + static_cast<Time>(load_time(pending, function) / 2);
+      // One that turns everything away drains, or is full for a while: it is asked again after doubling
+      // pauses.
+      const int beyond = std::min(++server.refusals - refusals_of_shut, 6);
+      const auto pause = static_cast<Time>(std::ldexp(pending.type->usual, beyond));
+      if (beyond >= 0) server.shut_until = now + std::min(pause, second);
     } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
       entry.confirmed = false;
     }
--- a/src/log/diary.cpp
+++ b/src/log/diary.cpp
@@ -1,8 +1,10 @@
 #include "log/diary.h"
 
+#include <poll.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -31,6 +33,12 @@
   return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// A log that nobody reads must not stall the loop.
+bool would_wait() {
+  pollfd out{.fd = STDERR_FILENO, .events = POLLOUT, .revents = 0};
+  return poll(&out, 1, 0) == 0;
+}
+
 }  // namespace
 
 Diary::Diary(Form form, core::Level least, std::string who)
@@ -57,10 +65,12 @@
       left_out = std::exchange(kind.left_out, 0);
       kind.lines = 0;
     }
-    if (++kind.lines > lines_a_second) {
+    if (++kind.lines > lines_a_second || would_wait()) {
       ++kind.left_out;
       return;
     }
+  } else if (would_wait()) {
+    return;
   }
   std::string text;
   if (form_ == Form::json) {
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -259,6 +259,32 @@
   EXPECT_EQ(story.host.told, std::vector<std::string>{"a"});
 }
 
+// Seen on sockets: what drains looks idle and warm, and turned away every event until the roster told of it.
+TEST(Health, ServerThatTurnsAllAwayIsLeftAloneForAWhileAndAskedAgain) {
+  Story story;
+  story.start(3);
+  for (int i = 0; i < 90; ++i) story.honour("f" + std::to_string(i % 9), "", second / 100);
+  // From now on what is shot at "a" is turned away, what is shot elsewhere honoured.
+  const auto events = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      const EventId id = story.event("f" + std::to_string(i % 9));
+      for (int shots = 0; story.server_of(id) == "a" && story.shots_of(id) > shots;) {
+        shots = story.shots_of(id);
+        story.end(id, Ending::turned_away, Warmth::untold);
+      }
+      story.pass(second / 100);
+      if (story.server_of(id) != "a") story.end(id, Ending::honoured);
+    }
+  };
+  int tried = story.shots_at("a");
+  events(90);
+  EXPECT_LE(story.shots_at("a") - tried, 9) << "in 0.9 s: three, and then at doubling pauses";
+  tried = story.shots_at("a");
+  story.pass(second);
+  events(60);
+  EXPECT_GT(story.shots_at("a"), tried) << "it is asked again";
+}
+
 // Seen on sockets: connections reset here and there made every router believe every server cold, and nearly
 // all events were shed from then on.
 TEST(Health, ConnectionsCutHereAndThereAreNoServersDeath) {
