A server that answers what it took before its supposed death is taken to have lived

Nobody had died.

A process that dies takes along all it has in hand. So an honoured answer to a shot sent before the supposed death, more than a tick after it, tells that the process lived: `reborn` is withdrawn (decide.cpp, learn_from). Every router does so by its own shots, whoever told it.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -625,6 +625,9 @@
       entry.used = now;
       server.past.at(now).honoured += 1;
       server.refusals = 0, server.shut_until = 0;
+      // A process that dies takes along all that it has in hand: what it took before and answers now tells
+      // that it lived. What was on its way at that moment does not.
+      if (shot.sent < server.reborn && now - server.reborn > d_.tick) server.reborn = 0;
       moves_ = std::min(moves_ + move_share, move_burst);
       learn_times(now, pending, function, server, shot, end);
     } else if (end.ending == Ending::turned_away) {
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -259,6 +259,25 @@
   EXPECT_EQ(story.host.told, std::vector<std::string>{"a"});
 }
 
+// Seen on sockets: one death believed in error took a sixth of the fleet away for as long as a server is
+// cold.
+TEST(Health, ServerThatAnswersWhatItTookBeforeItsSupposedDeathLives) {
+  Story story;
+  story.deployment.peers = true;
+  story.start(1);
+  for (int i = 0; i < 50; ++i) story.honour("f");
+  const EventId out = story.event("f");
+  story.pass(second / 100);
+  story.router->told(story.now, 1, "a");
+  for (int i = 0; i < 20; ++i) story.event("f");
+  const int cold = story.shots_at("a");
+  EXPECT_LE(cold, 50 + 1 + 4);
+  story.pass(second / 100);
+  story.end(out, Ending::honoured);
+  for (int i = 0; i < 20; ++i) story.event("f");
+  EXPECT_GE(story.shots_at("a"), cold + 10);
+}
+
 // Seen on sockets: what drains looks idle and warm, and turned away every event until the roster told of it.
 TEST(Health, ServerThatTurnsAllAwayIsLeftAloneForAWhileAndAskedAgain) {
   Story story;
