--- a/src/membership/board_client.cpp
+++ b/src/membership/board_client.cpp
@@ -87,10 +87,13 @@
                 {{"reason", wrong.what()}, {"line", std::string(text.substr(0, shown))}});
     return again("unreadable");
   }
-  failures_ = 0;
-  if (notice.number <= last_) return;  // told before
+  if (notice.number <= last_) {  // told before, or a beat that agrees
+    failures_ = 0;
+    return;
+  }
   if (notice.beat) return again("behind its number");
   if (notice.number > last_ + 1 && !notice.whole) return again("a gap");
+  failures_ = 0;
   last_ = notice.number;
   heard_(notice.whole ? RosterForm::complete : RosterForm::changes, notice.entries);
 }
--- a/tests/membership/board_test.cpp
+++ b/tests/membership/board_test.cpp
@@ -72,6 +72,15 @@
   EXPECT_TRUE(names.empty());
 }
 
+TEST_F(BoardStory, ABoardThatClaimsNonsenseIsAskedMoreAndMoreSeldom) {
+  board.on_bytes = [](RawPeer& peer) { peer.stream->write("{\"rev\":999999}\n"); };
+  ASSERT_TRUE(pump.until([&] { return board.peers.size() == 6; }));
+  const Time before = reactor.now();
+  ASSERT_TRUE(pump.until([&] { return board.peers.size() == 8; }));
+  EXPECT_GE(reactor.now() - before, 4'000) << "two pauses of at least half the longest";
+  EXPECT_TRUE(names.empty());
+}
+
 TEST_F(BoardStory, ASilentBoardIsLeftWhileItStaysOpen) {
   ASSERT_TRUE(watching(0, "watch 4\n"));
   ASSERT_TRUE(watching(1, "watch 4\n")) << "it never says a word";
