Half requests on one connection hold at most 128 KiB together

Found on rereading fastcgi::Reader: each of 32 requests on a connection might hold 32 KiB before it was whole, 1 MiB a connection; some forty such clients are a 32 MB machine's whole memory. What would go beyond 128 KiB together is refused like a body that is too large. A story holds it.

--- a/src/fastcgi/records.cpp
+++ b/src/fastcgi/records.cpp
@@ -224,7 +224,7 @@
   const auto it = making_.find(number_);
   if (it == making_.end()) return stray(part.size());
   if (it->second.params_over) return break_off("parameters after their end");
-  if (it->second.params.size() + part.size() > bounds_.params)
+  if (it->second.params.size() + part.size() > bounds_.params || !room_for(part.size()))
     return refuse(number_, Refusal::params_too_large);
   it->second.params += part;
 }
@@ -233,7 +233,8 @@
   const auto it = making_.find(number_);
   if (it == making_.end()) return stray(part.size());
   if (!it->second.params_over) return break_off("a body before the parameters' end");
-  if (it->second.body.size() + part.size() > bounds_.body) return refuse(number_, Refusal::body_too_large);
+  if (it->second.body.size() + part.size() > bounds_.body || !room_for(part.size()))
+    return refuse(number_, Refusal::body_too_large);
   it->second.body += part;
 }
 
@@ -243,6 +244,12 @@
   if (stray_ > bounds_.stray) break_off("too much for requests that are over");
 }
 
+// Many half requests on one connection hold no more than a few whole ones.
+bool Reader::room_for(std::size_t bytes) const {
+  for (const auto& [number, making] : making_) bytes += making.params.size() + making.body.size();
+  return bytes <= bounds_.making;
+}
+
 void Reader::refuse(Number number, Refusal why) {
   const bool keep = making_.at(number).keep;
   making_.erase(number);
--- a/src/fastcgi/records.h
+++ b/src/fastcgi/records.h
@@ -18,10 +18,11 @@
 using Number = std::uint16_t;  // of a request on its connection
 
 struct Bounds {
-  std::size_t params = 16 * 1024;  // bytes of one request's parameters
-  std::size_t body = 16 * 1024;    // bytes
-  std::size_t open = 32;           // requests at once on a connection
-  std::size_t stray = 128 * 1024;  // bytes sent for requests that are over, while nothing else is sent
+  std::size_t params = 16 * 1024;   // bytes of one request's parameters
+  std::size_t body = 16 * 1024;     // bytes
+  std::size_t open = 32;            // requests at once on a connection
+  std::size_t making = 128 * 1024;  // bytes of all that have begun and are not whole, on a connection
+  std::size_t stray = 128 * 1024;   // bytes sent for requests that are over, while nothing else is sent
 };
 
 struct Request {
@@ -73,6 +74,7 @@
   void params(std::string_view part);
   void input(std::string_view part);
   void stray(std::size_t bytes);
+  bool room_for(std::size_t bytes) const;
   void refuse(Number number, Refusal why);
   void break_off(const char* why);
 
--- a/tests/fastcgi/records_test.cpp
+++ b/tests/fastcgi/records_test.cpp
@@ -91,6 +91,15 @@
   EXPECT_EQ(noted.requests.size(), 1U);
 }
 
+TEST_F(RecordStory, ManyHalfRequestsHoldNoMoreThanAFewWholeOnes) {
+  for (int number = 1; number <= 32; ++number)
+    reader.put(
+        record(1, number, begin_keep) + record(4, number, "") + record(5, number, std::string(16'000, 'x')),
+        1);
+  EXPECT_EQ(noted.refusals.size(), 32U - 128 * 1024 / 16'000);
+  EXPECT_EQ(noted.fault, "");
+}
+
 TEST_F(RecordStory, ABodyWithoutEndIsNotReadForEver) {
   reader.put(record(1, 5, begin_keep) + record(4, 5, ""), 1);
   for (int i = 0; i < 100; ++i) reader.put(record(5, 5, std::string(10'000, 'x')), 1);
