One lost connection or a silent way is no longer a server's death for the whole fleet

Checked, with a line an ended shot in every router's log (a probe, not landed): the fleet's functions, servers' load by probes, who was picked. Ruled out: load over capacity (cores idle), a draining server (it honoured all along). Change: refused is a death at once; lost only with three within a second, here or at peers; never coming up is a pause.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -115,7 +115,8 @@
   int open = 0;                    // own shots out
   double ease = 1;                 // part of its weight that it bears with ease
   Time gone_at = 0, reborn = 0;    // left the list; last sign that the process died: what answers is cold
-  int cuts = 0;                    // connections lost or refused since anything was answered
+  int cuts = 0, silences = 0;      // connections lost, or never come up, since anything was answered
+  Time cut = 0;                    // the last one lost, here or at a peer
   Time answered = 0;               // last time that something was
   Time unanswered_since = 0;       // first send after the last answer; 0: none out
   Time no_loads_until = 0;         // turned work away that it would have to load for
@@ -290,19 +291,20 @@
   void probe_ended(Time now, const ProbeEnd& end) override {
     const auto it = servers_.find(end.server);
     if (it == servers_.end()) return;
-    note_contact(now, it->second, end.ending);
+    note_contact(now, it->second, end.ending, end.taken);
     const auto busy = end.report.find("util");
     if (busy == end.report.end()) return;
     weigh_use(it->second, busy->second);
     if (d_.peers) host_.tell(-1, end.server + " u" + std::to_string(std::lround(100 * busy->second)));
   }
-  // A peer saw a server die, or how busy it is.
+  // A peer saw a server die, lost a connection to it, or saw how busy it is.
   void told(Time now, int, const std::string& bytes) override {
     const auto gap = bytes.find(' ');
     const auto it = servers_.find(bytes.substr(0, gap));
     if (it == servers_.end()) return;
     if (gap + 2 < bytes.size() && gap != std::string::npos)
       return weigh_use(it->second, std::atof(bytes.c_str() + gap + 2) / 100);
+    if (gap != std::string::npos && !cut(now, it->second)) return;
     it->second.noted = now;
     seems_dead(now, it->second);
   }
@@ -643,7 +645,7 @@
     } else if (end.warmth == Warmth::load_failed || end.ending == Ending::not_stored) {
       entry.confirmed = false;
     }
-    note_contact(now, server, end.ending);
+    note_contact(now, server, end.ending, end.taken);
     if (const auto use = end.report.find("util"); use != end.report.end()) weigh_use(server, use->second);
     const bool stood = d_.tells_warm ? end.warmth == Warmth::found : end.ending == Ending::honoured;
     if (stood || (end.ending == Ending::turned_away && shot.confirmed)) {
@@ -666,16 +668,26 @@
     if (busy_usual_ > 0) weigh(server, busy / busy_usual_ - 1);
   }
 
-  // A server whose connections fail or break has died. Where it has answered just now it may be a connection
-  // that was cut on its way, and the server as warm as it was: then only all of them in a row tell.
-  void note_contact(Time now, Server& server, Ending ending) {
-    if (ending == Ending::connection_lost || ending == Ending::no_connection) {
+  // A process that has died refuses connections. One that was lost may have been cut on its way, and the
+  // server as warm as it was: where it has answered just now, or peers can tell, only several in a row tell.
+  // One that never comes up says that the way is cut, or the machine gone: nothing of the process.
+  void note_contact(Time now, Server& server, Ending ending, Time taken) {
+    const bool up = ending != Ending::no_connection;
+    if (!up && d_.connect_limit > 0 && 2 * taken >= d_.connect_limit) {  // a refusal comes at once
+      server.shut_until = now + std::min(second << std::min(server.silences++, 3), longest_pause);
+    } else if (!up || ending == Ending::connection_lost) {
       const bool lively = server.answered != 0 && now - server.answered <= second;
-      if (++server.cuts >= cuts_of_death || !lively) seems_dead(now, server);
+      if (cut(now, server) || (!lively && !(up && d_.peers))) return seems_dead(now, server);
+      if (d_.peers) host_.tell(-1, server.told.id + " c");
     } else if (ending != Ending::no_answer && ending != Ending::called_off && ending != Ending::not_sent) {
-      server.cuts = 0, server.answered = now;
+      server.cuts = server.silences = 0, server.answered = now;
     }
   }
+  // Whether so many connections were lost within a second of each other that the process has died.
+  bool cut(Time now, Server& server) const {
+    if (now - std::exchange(server.cut, now) > second && d_.peers) server.cuts = 0;
+    return ++server.cuts >= cuts_of_death;
+  }
 
   // What has died holds nothing, and what answers there next is cold, long before the roster says so.
   void seems_dead(Time now, Server& server) {
