First events spread over several homes; cold servers get what idle cores allow

Change: half an event counts for a function's first; borne_ over the time lived, divided by the fleet's use of cores, at most doubled.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -23,6 +23,7 @@
 constexpr int recent_buckets = 4;           // buckets at the least, so that trouble shows within one or two
 constexpr int span_parts = 16;              // parts of a rule's span; its count is at most 1/16 too high
 constexpr double few_events = 20;           // events; a router that has seen fewer knows no function's part
+constexpr double first_event = 0.5;         // events; the first of a router that has seen nothing: 1/40
 constexpr double prior_answers = 3;         // answers; what a server must show before its figures are its own
 constexpr double aside_excess = 0.5;        // share; bad beyond the median that sets a server aside
 constexpr double patience_times = 6;        // usual times; an exponential answer is later 1 time in 400
@@ -349,7 +350,8 @@
     const double age = std::max(0.0, static_cast<double>(now - since - d_.fall_span));
     const double share = d_.cold_share + (1 - d_.cold_share) * age / static_cast<double>(d_.cold_span);
     const double least = 1.0 / (std::max(1, d_.routers) * pending.type->usual);
-    const double borne = std::max(borne_ * weight(server), least);
+    const double idle = busy_usual_ > 0 ? std::clamp(1 / busy_usual_, 1.0, 2.0) : 1;
+    const double borne = std::max(borne_ * idle * weight(server), least);
     const double part = d_.fall_multiple * share * borne * static_cast<double>(d_.fall_span) * cold_part;
     const double sent = server.sent.over(now);
     if (part >= 1) return sent + 1 <= std::floor(part);
@@ -431,10 +433,11 @@
     // Abilities move slowly: mostly the order still holds.
     const auto far = [](const auto& home) { return home.first / ability(*home.second); };
     if (!std::ranges::is_sorted(function.homes, {}, far)) std::ranges::sort(function.homes, {}, far);
-    const double others = function.heat.over(now) - 1;  // one event alone says nothing
+    // One event alone says little, but more the fewer came before it: what is seen first is likely hot.
+    const double others = std::max(function.heat.over(now) - 1, first_event);
     const double part = others / (heat_.over(now) + few_events) / home_share;
     function.hot_homes =
-        others < 1 ? 0 : 1 + static_cast<int>(part * static_cast<double>(function.homes.size()));
+        (others < 1 ? 0 : 1) + static_cast<int>(part * static_cast<double>(function.homes.size()));
   }
 
   static double weight(const Server& server) { return server.told.rating > 0 ? server.told.rating : 1; }
@@ -787,9 +790,9 @@
     fleet_pace_ = median(paces, fleet_pace_);
     const double shots = std::max(shots_.over(now, recent_buckets), heat_.over(now, recent_buckets));
     flow_ = shots / std::max(warm_ability, 0.1) / static_cast<double>(recent_buckets * second);
-    borne_ = done / std::max(warm_weight, 0.1) / static_cast<double>(ring_span);
+    const Time seen = std::clamp(now - born_, second, ring_span);
+    borne_ = done / std::max(warm_weight, 0.1) / static_cast<double>(seen);
     // All that is judged over time follows the time in which each server gets one of this router's events.
-    const Time seen = std::clamp(now - born_, housekeeping_period, ring_span);
     const double beat = serving_ * static_cast<double>(seen) / (heat_.over(now) + 1);
     beat_ = std::min(static_cast<Time>(beat), ring_span);
     recent_ = static_cast<int>(std::clamp<Time>(2 * beat_ / second, recent_buckets, ring_buckets));
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -205,10 +205,24 @@
   story.change({.id = "a", .condition = Condition::leaving});
   for (int i = 0; i < 40; ++i) story.event("g", second);
   // Twice a fifth of what a warm server bore, over one second: four events, less the margin.
-  EXPECT_GE(story.shots_at("b"), 1);
+  EXPECT_GE(story.shots_at("b"), 3);
   EXPECT_LE(story.shots_at("b"), 4);
 }
 
+// Seen on three hundred routers: new servers' cores stood four fifths idle while the old ones were full.
+TEST(Rule4, PartOfAColdServerIsLargerWhereServersReportIdleCores) {
+  Story story;
+  story.deployment.probing = story.deployment.peers = true;
+  story.start(1);
+  for (int i = 0; i < 50; ++i) story.honour("f");
+  for (int i = 0; i < 50; ++i) story.router->told(story.now, 1, "a u25");
+  story.change({.id = "b", .started = story.now});
+  story.change({.id = "a", .condition = Condition::leaving});
+  for (int i = 0; i < 40; ++i) story.event("g", second);
+  EXPECT_GE(story.shots_at("b"), 6) << "twice as many: a quarter busy, half of the fleet is kept as a margin";
+  EXPECT_LE(story.shots_at("b"), 8);
+}
+
 // One event is more than one router's part: each must take its turn, and together they must not take more.
 TEST(Rule4, PartsUnderOneEventAddUpOverTheRouters) {
   int shots = 0;
@@ -304,7 +318,8 @@
     int tried = 0;
     for (int i = 0; i < 12; ++i) {
       const EventId id = story.event("f" + std::to_string(i % 6));
-      if (story.server_of(id) == "a") ++tried, story.end(id, Ending::no_connection, Warmth::untold, second / 4);
+      if (story.server_of(id) == "a")
+        ++tried, story.end(id, Ending::no_connection, Warmth::untold, second / 4);
       story.end(id, Ending::honoured);
       story.pass(second / 100);
     }
@@ -383,6 +398,28 @@
   EXPECT_TRUE(story.host.sheds.empty());
 }
 
+// Seen on three hundred routers: each one's first event of a hot function went to the one place that all
+// knew.
+TEST(Index, WhatIsSeenFirstGoesToSeveralHomesAndWhatIsSeenLateToOne) {
+  std::set<ServerId> at_first, late;
+  for (int me = 0; me < 60; ++me) {
+    Story story;
+    story.deployment.routers = 60;
+    story.deployment.me = me;
+    story.seed = static_cast<std::uint64_t>(me);
+    story.start(0);
+    std::vector<ModelServer> list;
+    for (int i = 0; i < 80; ++i) list.push_back({.id = "s" + std::to_string(i)});
+    story.router->roster(story.now, RosterForm::complete, list);
+    at_first.insert(story.honour("hot"));
+    for (int i = 0; i < 150; ++i) story.honour("f" + std::to_string(i % 50), "", second / 100);
+    late.insert(story.honour("rare"));
+  }
+  EXPECT_GE(at_first.size(), 4U);
+  EXPECT_LE(at_first.size(), 8U);
+  EXPECT_EQ(late.size(), 1U);
+}
+
 TEST(Rule5, OrdersStayWithinTheRation) {
   Story story;
   story.deployment.miss_answers = true;
