--- a/tests/transport/server_pool_test.cpp
+++ b/tests/transport/server_pool_test.cpp
@@ -259,10 +259,12 @@
   pool.unload("a", "f");
   ASSERT_TRUE(pump.until([&] { return !server.peers.empty() && !server.peers.front()->seen.empty(); }));
   EXPECT_TRUE(server.peers.front()->seen.starts_with("POST /v2/repository/models/f/unload "));
-  pump.pass(200);
+  // The connection is idle once the answer has come.
+  EXPECT_TRUE(pump.until([&] {
+    pool.close_idle("a");
+    return pool.connections() == 0;
+  }));
   EXPECT_TRUE(ends.orders.empty() && ends.shots.empty());
-  pool.close_idle("a");
-  EXPECT_EQ(pool.connections(), 0U);
 }
 
 TEST_F(PoolStory, AnEnquiryOrdersNothing) {
