Ways between routers: copies exchanged over TCP with a few neighbours, stalls and strangers left

src/replicating: dials the neighbours on the ring, takes who dials, keeps one way between two, leaves who is silent, garbled or of another deployment, asks the next one on in its place and the one left again after doubling pauses. Not in the program yet.

--- /dev/null
+++ b/src/replicating/replica_links.cpp
@@ -0,0 +1,197 @@
+#include "replicating/replica_links.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "replica/neighbours.h"
+
+namespace rushhill::replicating {
+namespace {
+
+using core::Level;
+using transport::Stream;
+
+constexpr Time turn_every = 100;         // tenths of a millisecond; what is learnt is passed on within that
+constexpr Time look_every = 1'000;       // between looks for neighbours that are not linked
+constexpr Time hello_within = 20'000;    // from connecting; a router that takes longer is stalled
+constexpr Time first_pause = 5'000;      // after a way that failed; doubles while it goes on failing
+constexpr Time longest_pause = 80'000;   // a router that is back is met within that
+constexpr int silent_points = 3;         // times the span between points; so long silent is stalled
+constexpr std::size_t most_links = 256;  // far above twice the logarithm of any fleet
+
+}  // namespace
+
+class ReplicaLinks::Link final : public transport::StreamUser,
+                                 public replica::Line,
+                                 public transport::Numbered {
+ public:
+  Link(ReplicaLinks& links, int router, const transport::Address& address)
+      : links_(links), dialled_(router), talk_(links.ways_.hello, links.copy_, *this, links.ways_.pace) {
+    begin(Stream::connect(links.reactor_, address, *this));
+  }
+  Link(ReplicaLinks& links, const transport::Arrival& arrival)
+      : links_(links), talk_(links.ways_.hello, links.copy_, *this, links.ways_.pace) {
+    begin(Stream::adopt(links.reactor_, arrival, *this));
+    talk_.opened();
+  }
+  ~Link() override {
+    if (stream_) stream_->close();
+  }
+
+  void opened() override { talk_.opened(); }
+  void arrived(std::string_view bytes) override {
+    const auto self = links_.links_.at(this);
+    heard_ = links_.reactor_.now();
+    const bool met = talk_.greeted();
+    const bool good = talk_.arrived(heard_, bytes);
+    if (!met && talk_.greeted()) links_.greeted(*this);
+    if (!good) links_.end(*this, talk_.reason());
+  }
+  void lost(transport::Loss why) override {
+    links_.end(*this, why == transport::Loss::refused ? "refused" : "lost");
+  }
+  void send(const std::string& bytes) override { stream_->write(bytes); }
+  std::size_t unsent() const override { return stream_->waiting(); }
+
+  void close() { stream_->close(); }
+  int dialled() const { return dialled_; }  // -1: the other came to us
+  int router() const { return talk_.greeted() ? talk_.other().writer.router : dialled_; }
+  bool stalled(Time now) const {
+    const Time most = talk_.greeted() ? silent_points * links_.ways_.pace.points_every : hello_within;
+    return now - heard_ > most;
+  }
+  replica::Conversation& talk() { return talk_; }
+  const replica::Conversation& talk() const { return talk_; }
+
+ private:
+  void begin(std::shared_ptr<Stream> stream) {
+    stream_ = std::move(stream);
+    heard_ = links_.reactor_.now();
+  }
+
+  ReplicaLinks& links_;
+  int dialled_ = -1;
+  std::shared_ptr<Stream> stream_;
+  replica::Conversation talk_;
+  Time heard_ = 0;
+};
+
+ReplicaLinks::ReplicaLinks(transport::Reactor& reactor, const Ways& ways, replica::Replica& copy,
+                           core::Diary& diary)
+    : reactor_(reactor), ways_(ways), copy_(copy), diary_(diary),
+      listener_(reactor, transport::numeric_address(ways.listen), false,
+                [this](const transport::Arrival& arrival) { accept(arrival); }) {
+  for (std::size_t i = 0; i < ways_.addresses.size(); ++i) {
+    if (!ways_.addresses[i].empty()) transport::numeric_address(ways_.addresses[i]);
+  }
+  turn();
+}
+
+ReplicaLinks::~ReplicaLinks() { reactor_.withdraw(alarm_); }
+
+void ReplicaLinks::accept(const transport::Arrival& arrival) {
+  if (links_.size() >= most_links) return arrival.refuse();
+  const auto link = std::make_shared<Link>(*this, arrival);
+  links_.emplace(link.get(), link);
+}
+
+void ReplicaLinks::written() {
+  if (std::exchange(telling_soon_, true)) return;
+  reactor_.soon([this, alive = std::weak_ptr(life_)] {
+    if (alive.expired()) return;
+    telling_soon_ = false;
+    for (const auto& [link, held] : links_) link->talk().turn(reactor_.now());
+  });
+}
+
+void ReplicaLinks::turn() {
+  const Time now = reactor_.now();
+  alarm_ = reactor_.at(now + turn_every, [this] { turn(); });
+  if (now >= look_at_) look(now);
+  for (const auto& [link, held] : links_) link->talk().turn(now);
+}
+
+// Whom we should be linked to, given who cannot be reached now.
+void ReplicaLinks::look(Time now) {
+  look_at_ = now + look_every;
+  copy_.pass(now);
+  const auto links = links_;
+  for (const auto& [link, held] : links) {
+    if (link->stalled(now)) end(*link, "silent");
+  }
+  std::set<int> there;
+  for (std::size_t i = 0; i < ways_.addresses.size(); ++i) {
+    const int router = static_cast<int>(i);
+    const auto far = far_.find(router);
+    const bool reachable = !ways_.addresses[i].empty() && (far == far_.end() || now >= far->second.again_at);
+    if (reachable || linked_to(router)) there.insert(router);
+  }
+  for (const int router : replica::neighbours(ways_.hello.writer.router, there)) {
+    if (linked_to(router) || links_.size() >= most_links) continue;
+    const auto link = std::make_shared<Link>(
+        *this, router, transport::numeric_address(ways_.addresses[static_cast<std::size_t>(router)]));
+    links_.emplace(link.get(), link);
+  }
+}
+
+bool ReplicaLinks::linked_to(int router) const {
+  return std::ranges::any_of(links_, [&](const auto& item) { return item.second->router() == router; });
+}
+
+// Where two routers dialled each other at once, the way that the lower number dialled stays, at both alike.
+void ReplicaLinks::greeted(Link& link) {
+  const int router = link.router();
+  if (link.dialled() >= 0 && link.dialled() != router)
+    return end(link, "the router there is " + std::to_string(router));
+  far_.erase(router);
+  const bool ours_stays = ways_.hello.writer.router < router;
+  const auto links = links_;
+  for (const auto& [other, held] : links) {
+    if (other == &link || other->router() != router) continue;
+    // Of two that the same side dialled, the newer: the older is of a life that has ended, or stalled.
+    const bool same_side = (other->dialled() >= 0) == (link.dialled() >= 0);
+    const bool link_stays = same_side || (link.dialled() >= 0) == ours_stays;
+    if (!link_stays && !other->talk().greeted()) continue;
+    end(link_stays ? *other : link, "");
+    if (!link_stays) return;
+  }
+  diary_.line(Level::info, "copies exchanged with", {{"router", std::to_string(router)}});
+}
+
+void ReplicaLinks::end(Link& link, const std::string& why) {
+  const auto it = links_.find(&link);
+  if (it == links_.end()) return;
+  const int router = link.router();
+  const std::shared_ptr<Link> gone = it->second;
+  links_.erase(it);
+  gone->close();
+  if (router >= 0 && !linked_to(router)) {
+    copy_.forget(router);
+    Far& far = far_[router];
+    far.pause = far.pause == 0 ? first_pause : std::min(2 * far.pause, longest_pause);
+    far.again_at = reactor_.now() + far.pause;
+  }
+  if (!why.empty() && why != "refused")
+    diary_.line(Level::warning, "copies no longer exchanged",
+                {{"router", std::to_string(router)}, {"reason", why}});
+  // It may be the one that is calling: it goes when that call has returned.
+  reactor_.soon([gone] {});
+}
+
+std::set<int> ReplicaLinks::met() const {
+  std::set<int> routers;
+  for (const auto& [link, held] : links_) {
+    if (link->talk().greeted()) routers.insert(link->router());
+  }
+  return routers;
+}
+
+std::uint64_t ReplicaLinks::behind() const {
+  std::uint64_t most = 0;
+  for (const auto& [link, held] : links_) {
+    if (link->talk().greeted()) most = std::max(most, link->talk().behind());
+  }
+  return most;
+}
+
+}  // namespace rushhill::replicating
--- /dev/null
+++ b/src/replicating/replica_links.h
@@ -0,0 +1,69 @@
+// The ways between routers on which their copies are exchanged: TCP to a few neighbours, and from whoever has
+// us for one. A way that is silent, garbled or of another deployment is closed, and the next router on asked
+// in its place; it is tried again after a pause.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ports.h"
+#include "replica/conversation.h"
+#include "transport/numbered.h"
+#include "transport/reactor.h"
+
+namespace rushhill::replicating {
+
+struct Ways {
+  std::string listen{};                  // an address with a port
+  std::vector<std::string> addresses{};  // by router number; empty: cannot be reached
+  replica::Hello hello{};                // who we are
+  replica::Pace pace{};
+};
+
+class ReplicaLinks {
+ public:
+  // Listens at once; throws where an address cannot be had.
+  ReplicaLinks(transport::Reactor& reactor, const Ways& ways, replica::Replica& copy, core::Diary& diary);
+  ~ReplicaLinks();
+  ReplicaLinks(const ReplicaLinks&) = delete;
+  ReplicaLinks& operator=(const ReplicaLinks&) = delete;
+
+  transport::Address address() const { return listener_.address(); }
+  // A word was written here: it is told when the present call has returned, not with the next turn.
+  void written();
+  // Routers with which words are being exchanged.
+  std::set<int> met() const;
+  // The most words that any of them is known to have and this copy lacks.
+  std::uint64_t behind() const;
+  std::size_t links() const { return links_.size(); }
+
+ private:
+  class Link;
+  struct Far {
+    Time pause = 0, again_at = 0;  // while it could not be reached
+  };
+
+  void accept(const transport::Arrival& arrival);
+  void turn();
+  void look(Time now);
+  void end(Link& link, const std::string& why);
+  void greeted(Link& link);
+  bool linked_to(int router) const;
+
+  transport::Reactor& reactor_;
+  Ways ways_;
+  replica::Replica& copy_;
+  core::Diary& diary_;
+  std::map<Link*, std::shared_ptr<Link>, transport::ByNumber> links_;
+  std::map<int, Far> far_;
+  core::Alarm alarm_;
+  Time look_at_ = 0, passed_ = 0;
+  bool telling_soon_ = false;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+  transport::Listener listener_;
+};
+
+}  // namespace rushhill::replicating
