A restarted router keeps to its ration of orders, heard from the other routers

Change: [replica] in the deployment file. Each order is told to the neighbours before it leaves; after a start the module orders nothing until ration_known brings what earlier lives ordered.

--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -275,6 +275,7 @@
   on_badday->add_flag("--json", bad_day.json, "print the tally as JSON");
   on_badday->add_flag("--servers-load", bad_day.loads_by_themselves,
                       "servers load what they lack by themselves instead of answering that they lack it");
+  on_badday->add_flag("--together", bad_day.together, "routers hold state together");
   on_badday->add_flag("--calm", bad_day.calm, "longer limits and ticks, for slow machines");
   on_badday->add_option("--front", bad_day.front, "how events come: http, mqtt, both")
       ->check(CLI::IsMember({"http", "mqtt", "both"}));
@@ -294,6 +295,7 @@
   on_run->add_option("--routers", emulated.routers, "its routers")->check(CLI::Range(1, 5'000));
   on_run->add_option("--functions", emulated.functions, "its functions")->check(CLI::Range(1, 1'000'000));
   on_run->add_option("--keep", emulated.folder, "keep day and records in this folder");
+  on_run->add_flag("--together", emulated.together, "routers hold state together");
   on_run->add_flag("!--no-judge", emulated.judge, "only play, for speed at large size");
   on_run->add_flag("--json", emulated.json, "print the tally as JSON");
   auto* on_version = app.add_subcommand("version", "print the version");
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -234,6 +234,10 @@
   decide([&](Router& router, Time now) { router.told(now, router_number, bytes); });
 }
 
+void Gateway::ration_known(double orders) {
+  decide([&](Router& router, Time now) { router.ration_known(now, orders); });
+}
+
 void Gateway::shoot(EventId event, const ServerId& server, Time time_out) {
   const auto it = open_.find(event);
   if (it == open_.end()) {
@@ -309,8 +313,10 @@
 void Gateway::close_idle(const ServerId& server) { to_.carrier.close_idle(server); }
 
 void Gateway::order(const ServerId& server, const FunctionId& function, int copies) {
-  ++tally_.orders;
   orders_out_[{server, function}].push_back(to_.clock.now());
+  if (to_.ledger != nullptr && !to_.ledger->ordering())
+    return soon([this, server, function] { order_ended(server, function, Ending::not_sent, 0); });
+  ++tally_.orders;
   to_.carrier.order(server, function, copies, deployment_.order_limit);
 }
 void Gateway::unload(const ServerId& server, const FunctionId& function) {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -32,6 +32,7 @@
     Peers& peers;
     RosterSource& roster;
     Diary& diary;
+    Ledger* ledger = nullptr;  // none: nothing outlives this router
   };
   Gateway(const Deployment& deployment, std::uint64_t seed, const Ports& ports);
   ~Gateway() override;
@@ -55,6 +56,8 @@
 
   void roster(RosterForm form, const std::vector<RosterEntry>& entries);
   void peer_told(int router, const std::string& bytes);
+  // What earlier lives ordered, where the deployment says that it is told.
+  void ration_known(double orders);
 
   std::size_t open() const { return shares_.open(); }
   const Tally& tally() const { return tally_; }
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -68,6 +68,13 @@
   virtual void tell(int router, const std::string& bytes) = 0;  // -1: all
 };
 
+// Where what must outlive this router is told to others before it acts on it.
+class Ledger {
+ public:
+  virtual ~Ledger() = default;
+  virtual bool ordering() = 0;  // an order to load is about to leave; false: it must not
+};
+
 class RosterSource {
  public:
   virtual ~RosterSource() = default;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -310,6 +310,11 @@
     seems_dead(now, it->second);
   }
 
+  void ration_known(Time now, double orders) override {
+    orders_.at(now) += orders;
+    ration_known_ = true;
+  }
+
   void order_ended(Time now, const OrderEnd& end) override {
     if (pending_orders_ > 0) --pending_orders_;
     Entry& entry = functions_[end.function].entries[end.server];
@@ -370,6 +375,7 @@
   bool may_order(Time now, const Server& server) const {
     if (!d_.orders || !may_receive(server) || pending_orders_ >= order_cap) return false;
     if (d_.load_window <= 0) return true;
+    if (d_.ration_told && !ration_known_) return false;
     return orders_.over(now) + 1 <= d_.load_free + d_.loads_per_event * events_taken_.over(now, span_parts);
   }
 
@@ -888,7 +894,7 @@
   double crossing_ = 0;        // score; a crossing's price, in loads
   double moves_ = move_burst;  // overdue shots that may be sent again now
   Time born_ = 0, swept_ = 0;  // first word of the roster; the second of the last sweep of the Index
-  bool follow_due_ = false;
+  bool follow_due_ = false, ration_known_ = false;
 };
 
 }  // namespace
--- a/src/decide.h
+++ b/src/decide.h
@@ -75,6 +75,7 @@
   Time load_window = 0;  // 0: orders are not rationed
   double load_free = 0;
   double loads_per_event = 0;
+  bool ration_told = false;  // what earlier lives ordered is told after the start; until then nothing is
   double memory_price = 0;
   std::map<std::string, double> kind_memory_mb;
   std::map<std::string, double> prices;  // points off the result, by the wire's name
@@ -207,6 +208,8 @@
   virtual void probe_ended(Time now, const ProbeEnd& end) = 0;
   virtual void order_ended(Time now, const OrderEnd& end) = 0;
   virtual void told(Time now, int router, const std::string& bytes) = 0;
+  // Orders that this router gave before it was started again and that still count: nothing else is missing.
+  virtual void ration_known(Time now, double orders) = 0;
 };
 
 std::unique_ptr<Router> make_router(const Deployment& deployment, std::uint64_t seed, Host& host);
--- a/src/deployment/deployment_file.cpp
+++ b/src/deployment/deployment_file.cpp
@@ -219,6 +219,12 @@
       {"roster", "retry", "500ms", [](P& p, S v) { p.roster.retry = time_above_0(v); }},
       {"roster", "pushed", "yes", [](P& p, S v) { p.module.roster_on_request = !flag(v); }},
       {"peers", "listen", "", [](P& p, S v) { p.peers.listen = where_or_none(v); }},
+      {"replica", "listen", "",
+       [](P& p, S v) {
+         if (v.starts_with("fd:")) throw Fault("'" + v + "' is no address");
+         p.replica.listen = where_or_none(v);
+       }},
+      {"replica", "deployment", "rushhill", [](P& p, S v) { p.replica.deployment = name(v); }},
       {"log", "least", "info",
        [](P& p, S v) {
          p.log_least = word<core::Level>(v, {{"debug", core::Level::debug},
@@ -328,14 +334,18 @@
         const std::string of = named(line, section, gap);
         kind_memory(program, section, of, written);
       } else if (section == "peers") {
-        peers(program, written);
+        routers(program.peers.addresses, program.module.routers, written);
+      } else if (section == "replica") {
+        routers(program.replica.addresses, program.module.routers, written);
       } else if (std::ranges::none_of(keys(),
                                       [&, &of = section](const auto& key) { return of == key.section; })) {
         fault(line, "[" + section + "]",
-              "is none of router, rules, permissions, functions, servers, http, mqtt, roster, peers, log, "
+              "is none of router, rules, permissions, functions, servers, http, mqtt, roster, peers, "
+              "replica, log, "
               "traffic NAME, customer NAME, kind NAME, mqtt-topic NAME");
       }
     }
+    program.module.ration_told = !program.replica.listen.empty() && program.module.load_window > 0;
     if (faults_.empty()) together(program);
     if (!faults_.empty()) throw BadFile(std::move(faults_));
     return program;
@@ -439,7 +449,7 @@
       const bool known = std::ranges::any_of(table, [&, &name_is = key](const Key<Target>& row) {
         return name_is == row.name && (only == nullptr || std::string_view(only) == row.section);
       });
-      const bool peer = section == "peers" && key.starts_with("router-");
+      const bool peer = (section == "peers" || section == "replica") && key.starts_with("router-");
       if (!known && !peer) fault(value.line, key, "is no key of [" + section + "]");
     }
   }
@@ -495,13 +505,13 @@
   }
 
   // router-0 = 127.0.0.1:9100 and so on.
-  void peers(Program& program, const Section& written) {
-    program.peers.addresses.resize(static_cast<std::size_t>(program.module.routers));
+  void routers(std::vector<std::string>& addresses, int count, const Section& written) {
+    addresses.resize(static_cast<std::size_t>(count));
     for (const auto& [key, value] : written) {
       if (!key.starts_with("router-")) continue;
       try {
-        const auto number = whole_in(key.substr(7), 0, program.module.routers - 1);
-        program.peers.addresses[static_cast<std::size_t>(number)] = where(value.value);
+        const auto number = whole_in(key.substr(7), 0, count - 1);
+        addresses[static_cast<std::size_t>(number)] = where(value.value);
         if (value.value.starts_with("fd:")) throw Fault("'" + value.value + "' is no address");
       } catch (const Fault& wrong) {
         fault(value.line, key, wrong.what());
--- a/src/deployment/deployment_file.h
+++ b/src/deployment/deployment_file.h
@@ -50,6 +50,13 @@
   std::vector<std::string> addresses{};  // by router number; this router's own place is not used
 };
 
+// What routers hold together, exchanged between them; no listen: nothing is.
+struct ReplicaLinks {
+  std::string listen{};
+  std::string deployment{};              // routers of another are refused
+  std::vector<std::string> addresses{};  // by router number; this router's own place is not used
+};
+
 // Which messages call which function: {1}, {2} in function and customer stand for the filter's wildcards.
 struct MqttTopic {
   std::string name{}, filter{}, group{};  // of a shared subscription; empty: none
@@ -77,6 +84,7 @@
   ServerLinks links{};
   RosterLink roster{};
   PeerLinks peers{};
+  ReplicaLinks replica{};
   MqttLinks mqtt{};
   core::Level log_least = core::Level::info;
   bool log_json = false;
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -37,6 +37,7 @@
   for (Seat& seat : seats_) {
     seat.http = network_.hold(transport::numeric_address(any_port));
     seat.peers = network_.hold(transport::numeric_address(any_port));
+    seat.replica = network_.hold(transport::numeric_address(any_port));
   }
 }
 Emulation::~Emulation() = default;
@@ -44,11 +45,14 @@
 void Emulation::start(std::size_t number) {
   Seat& seat = seats_[number];
   seat.due = false;
-  std::vector<std::string> peers;
-  for (const Seat& other : seats_) peers.push_back(other.peers->address().toString());
-  const std::string text =
-      standin::deployment_of(day_, static_cast<int>(number), seat.http->address().toString(),
-                             roster_.address().toString(), seat.peers->address().toString(), peers);
+  std::vector<std::string> peers, replicas;
+  for (const Seat& other : seats_) {
+    peers.push_back(other.peers->address().toString());
+    if (day_.together) replicas.push_back(other.replica->address().toString());
+  }
+  const std::string text = standin::deployment_of(
+      day_, static_cast<int>(number), seat.http->address().toString(), roster_.address().toString(),
+      seat.peers->address().toString(), peers, "", replicas);
   const deployment::Program program =
       deployment::read_text("router-" + std::to_string(number) + ".ini", text);
   const std::uint64_t seed = day_.seed * 1'000'003 + number * 1'009 + ++seat.lives;
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -39,7 +39,7 @@
     void line(core::Level, const char*, Fields) override {}
   };
   struct Seat {
-    std::unique_ptr<transport::Place> http, peers;
+    std::unique_ptr<transport::Place> http, peers, replica;
     std::unique_ptr<router::RouterProcess> router;
     std::uint64_t lives = 0;
     bool due = false;  // to start again once its last life has ended
--- a/src/lab/badday.cpp
+++ b/src/lab/badday.cpp
@@ -71,7 +71,7 @@
 };
 
 struct RouterPlace {
-  FreePort port;
+  FreePort port, replica;
   Poco::Net::DatagramSocket peers{transport::numeric_address("127.0.0.1:0")};
   std::unique_ptr<Process> process;
 };
@@ -157,12 +157,17 @@
 
   void start_router(int number) {
     std::vector<std::string> peers;
-    for (const auto& place : routers_) peers.push_back(place->peers.address().toString());
+    std::vector<std::string> replicas;
+    for (const auto& place : routers_) {
+      peers.push_back(place->peers.address().toString());
+      if (day_.together) replicas.push_back(place->replica.address().toString());
+    }
     const std::string name = "router-" + std::to_string(number);
     RouterPlace& place = *routers_[static_cast<std::size_t>(number)];
     const std::string file = folder_ / (name + ".ini");
-    write(file, standin::deployment_of(day_, number, place.port.address().toString(), roster_address_,
-                                       "fd:" + std::to_string(peer_descriptor), peers, broker_address_));
+    write(file,
+          standin::deployment_of(day_, number, place.port.address().toString(), roster_address_,
+                                 "fd:" + std::to_string(peer_descriptor), peers, broker_address_, replicas));
     place.process = std::make_unique<Process>(
         name, std::vector<std::string>{"serve", file, "--tally", folder_ / "tally.jsonl"},
         folder_ / (name + ".log"),
@@ -203,9 +208,10 @@
 }  // namespace
 
 int play(const BadDay& of) {
-  const Day day = of.day_file.empty() ? standin::scripted_bad_day(of.events, of.rate, of.seed,
-                                                                  !of.loads_by_themselves, of.calm)
-                                      : standin::day_from_json(text_of(of.day_file));
+  Day day = of.day_file.empty()
+                ? standin::scripted_bad_day(of.events, of.rate, of.seed, !of.loads_by_themselves, of.calm)
+                : standin::day_from_json(text_of(of.day_file));
+  day.together = day.together || of.together;
   const Folder folder(of.folder);
   {
     Stage stage(day, folder, of.front);
--- a/src/lab/badday.h
+++ b/src/lab/badday.h
@@ -13,7 +13,7 @@
   std::uint64_t seed = 1;
   std::string day_file{}, folder{};
   std::string front = "http";  // mqtt, both
-  bool json = false, loads_by_themselves = false, calm = false;
+  bool json = false, loads_by_themselves = false, calm = false, together = false;
 };
 
 // 0: every event ended once and in time and no rule was broken; 1: not; throws where a process fails.
--- a/src/lab/emulate.cpp
+++ b/src/lab/emulate.cpp
@@ -48,7 +48,8 @@
 }  // namespace
 
 int emulate(const Emulate& of) {
-  const standin::Day day = day_of(of);
+  standin::Day day = day_of(of);
+  day.together = day.together || of.together;
   standin::Record record(of.folder.empty() ? "" : of.folder + "/emulated.jsonl");
   if (!of.folder.empty()) {
     std::filesystem::create_directories(of.folder);
--- a/src/lab/emulate.h
+++ b/src/lab/emulate.h
@@ -13,7 +13,7 @@
   std::uint64_t seed = 1;
   int servers = 0, routers = 4, functions = 100;  // of a grown day
   std::string folder;                             // keeps the records there; empty: nowhere
-  bool judge = true, json = false;
+  bool judge = true, json = false, together = false;
 };
 
 int emulate(const Emulate& of);
--- a/src/replica/conversation.h
+++ b/src/replica/conversation.h
@@ -43,6 +43,8 @@
   void turn(Time now);
 
   bool greeted() const { return greeted_; }
+  // The other is known and has told where it stands, and this copy lacks nothing of that.
+  bool caught_up() const { return heard_points_ && behind() == 0; }
   const Hello& other() const { return theirs_; }
   const std::string& reason() const { return reason_; }
   // Words that the other was last known to have and this copy lacks; nothing known: none.
--- a/src/replicating/replica_links.cpp
+++ b/src/replicating/replica_links.cpp
@@ -79,7 +79,7 @@
 ReplicaLinks::ReplicaLinks(transport::Reactor& reactor, const Ways& ways, replica::Replica& copy,
                            core::Diary& diary)
     : reactor_(reactor), ways_(ways), copy_(copy), diary_(diary),
-      listener_(reactor, transport::numeric_address(ways.listen), false,
+      listener_(reactor, transport::numeric_address(ways.listen), true,
                 [this](const transport::Arrival& arrival) { accept(arrival); }) {
   for (std::size_t i = 0; i < ways_.addresses.size(); ++i) {
     if (!ways_.addresses[i].empty()) transport::numeric_address(ways_.addresses[i]);
@@ -104,6 +104,15 @@
   });
 }
 
+bool ReplicaLinks::tell_now() {
+  bool told = false;
+  for (const auto& [link, held] : links_) {
+    link->talk().turn(reactor_.now());
+    told = told || link->talk().greeted();
+  }
+  return told;
+}
+
 void ReplicaLinks::turn() {
   const Time now = reactor_.now();
   alarm_ = reactor_.at(now + turn_every, [this] { turn(); });
@@ -186,6 +195,11 @@
   return routers;
 }
 
+bool ReplicaLinks::caught_up() const {
+  return !links_.empty() &&
+         std::ranges::all_of(links_, [](const auto& item) { return item.second->talk().caught_up(); });
+}
+
 std::uint64_t ReplicaLinks::behind() const {
   std::uint64_t most = 0;
   for (const auto& [link, held] : links_) {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -64,6 +64,10 @@
                  : std::make_unique<transport::PeerLinks>(
                        reactor, program.peers.listen, program.module.me, program.peers.addresses,
                        [this](int router, const std::string& bytes) { gateway_.peer_told(router, bytes); })),
+      shared_(program.replica.listen.empty()
+                  ? nullptr
+                  : std::make_unique<SharedState>(reactor, program, seed, diary,
+                                                  [this](double orders) { gateway_.ration_known(orders); })),
       roster_(program.roster.address.empty()
                   ? nullptr
                   : std::make_unique<membership::RosterClient>(
@@ -78,7 +82,8 @@
                 .carrier = pool_,
                 .peers = peers_ ? static_cast<core::Peers&>(*peers_) : no_peers,
                 .roster = roster_ ? static_cast<core::RosterSource&>(*roster_) : no_roster,
-                .diary = diary}),
+                .diary = diary,
+                .ledger = shared_.get()}),
       intake_(program.module, program.type_of_event),
       front_(reactor, gateway_, intake_, diary,
              {.connections = program.http.connections,
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -12,6 +12,7 @@
 #include "fronts/http_front.h"
 #include "fronts/mqtt_front.h"
 #include "membership/roster_client.h"
+#include "router/shared_state.h"
 #include "transport/peer_links.h"
 #include "transport/reactor.h"
 #include "transport/server_pool.h"
@@ -47,6 +48,7 @@
   core::Diary& diary_;
   transport::ServerPool pool_;
   std::unique_ptr<transport::PeerLinks> peers_;
+  std::unique_ptr<SharedState> shared_;  // none: nothing is held together
   std::unique_ptr<membership::RosterClient> roster_;
   core::Gateway gateway_;
   core::Intake intake_;
--- a/src/standin/day.cpp
+++ b/src/standin/day.cpp
@@ -73,7 +73,8 @@
               {"tick", day.tick},
               {"roster-lag-least", day.roster_lag_least},
               {"roster-lag-most", day.roster_lag_most},
-              {"missing-answers", day.missing_answers}};
+              {"missing-answers", day.missing_answers},
+              {"together", day.together}};
   object["store"] = {{"fetches-at-once", day.store.fetches_at_once},
                      {"most-fetches", day.store.most_fetches},
                      {"fetch-share", day.store.fetch_share}};
@@ -140,6 +141,7 @@
   read(object, "roster-lag-least", day.roster_lag_least);
   read(object, "roster-lag-most", day.roster_lag_most);
   read(object, "missing-answers", day.missing_answers);
+  if (object.contains("together")) read(object, "together", day.together);
   if (const auto it = object.find("store"); it != object.end()) {
     read(*it, "fetches-at-once", day.store.fetches_at_once);
     read(*it, "most-fetches", day.store.most_fetches);
@@ -210,7 +212,7 @@
 
 std::string deployment_of(const Day& day, int router, const std::string& listen, const std::string& roster,
                           const std::string& peer_listen, const std::vector<std::string>& peers,
-                          const std::string& broker) {
+                          const std::string& broker, const std::vector<std::string>& replicas) {
   std::ostringstream out;
   const RuleFigures& rules = day.rules;
   const MachineMake& near = day.servers[static_cast<std::size_t>(router) % day.servers.size()];
@@ -230,6 +232,11 @@
     for (std::size_t i = 0; i < peers.size(); ++i) out << "router-" << i << " = " << peers[i] << "\n";
     out << "\n";
   }
+  if (!replicas.empty()) {
+    out << "[replica]\nlisten = " << replicas[static_cast<std::size_t>(router)] << "\ndeployment = day\n";
+    for (std::size_t i = 0; i < replicas.size(); ++i) out << "router-" << i << " = " << replicas[i] << "\n";
+    out << "\n";
+  }
   if (!broker.empty()) {
     out << "[mqtt]\naddress = " << broker << "\nclient = router-" << router << "\nretry = 50ms\n\n";
     for (const TypeMake& type : day.types) {
--- a/src/standin/day.h
+++ b/src/standin/day.h
@@ -99,6 +99,7 @@
   double rate = 300;  // events a second
   Time tick = 200;    // of the routers: how late a loop may turn
   Time roster_lag_least = 2'000, roster_lag_most = 20'000;
+  bool together = false;         // routers hold state together
   bool missing_answers = false;  // servers answer that they lack a function instead of loading it
   std::vector<MachineMake> servers{};
   StoreMake store{};
@@ -116,10 +117,11 @@
 std::string to_json(const Day& day);
 Day day_from_json(std::string_view text);  // throws std::invalid_argument naming the field
 
-// The deployment file of one of the day's routers.
+// The deployment file of one of the day's routers. `replicas`: where copies of what routers hold together are
+// exchanged, by router number; none: they hold nothing together.
 std::string deployment_of(const Day& day, int router, const std::string& listen, const std::string& roster,
                           const std::string& peer_listen, const std::vector<std::string>& peers,
-                          const std::string& broker = "");
+                          const std::string& broker = "", const std::vector<std::string>& replicas = {});
 
 // The scripted bad day: every fault once at least, a rolling drain and a router restarted. A calm one leaves
 // slow machines more time: longer limits and ticks, the same faults.
--- a/tests/core/gateway_test.cpp
+++ b/tests/core/gateway_test.cpp
@@ -81,7 +81,7 @@
 class GatewayStory : public testing::Test {
  protected:
   void start(int servers = 3) {
-    gateway = std::make_unique<Gateway>(deployment, 7, Gateway::Ports{clock, told, told, told, told});
+    gateway = std::make_unique<Gateway>(deployment, 7, Gateway::Ports{clock, told, told, told, told, ledger});
     source = gateway->add_source(1);
     std::vector<RosterEntry> entries;
     for (int i = 0; i < servers; ++i)
@@ -126,6 +126,7 @@
   }();
   HandClock clock;
   Told told;
+  Ledger* ledger = nullptr;
   std::unique_ptr<Gateway> gateway;
   taking::Shares::Source source = 0;
 };
@@ -287,6 +288,28 @@
   EXPECT_EQ(gateway->tally().endings[static_cast<std::size_t>(Ending::not_sent)], 1U);
 }
 
+TEST_F(GatewayStory, AnOrderThatCannotBeToldToOthersFirstNeverLeaves) {
+  struct Book final : Ledger {
+    bool ordering() override { return ++asked > 1; }
+    int asked = 0;
+  } book;
+  deployment.miss_answers = deployment.orders = true;
+  ledger = &book;
+  start();
+  event();
+  end(0, Ending::not_stored);
+  EXPECT_EQ(book.asked, 1);
+  EXPECT_TRUE(told.orders.empty());
+  EXPECT_EQ(gateway->tally().orders, 0U);
+  // It has ended for the module, which goes on: the next one is told and leaves.
+  clock.pass(second / 5);
+  ASSERT_GE(told.shots.size(), 2U);
+  end(told.shots.size() - 1, Ending::not_stored);
+  clock.pass(second / 5);
+  EXPECT_EQ(told.orders.size(), gateway->tally().orders);
+  EXPECT_GT(told.orders.size(), 0U);
+}
+
 TEST_F(GatewayStory, ServersThatLeaveTheListAreReachedNoMore) {
   start();
   gateway->roster(RosterForm::complete, {{{.id = "b"}, "127.0.0.1:9001"}});
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -398,6 +398,23 @@
   EXPECT_TRUE(story.host.sheds.empty());
 }
 
+TEST(Rule5, NothingIsOrderedBeforeTheRationOfEarlierLivesIsKnownAndItCounts) {
+  Story story;
+  story.deployment.miss_answers = story.deployment.ration_told = true;
+  story.deployment.load_window = 5 * second;
+  story.deployment.load_free = 3;
+  story.start(6);
+  const auto misses = [&] {
+    for (const char* function : {"f", "g", "h", "i"})
+      story.end(story.event(function), Ending::not_stored, Warmth::untold);
+  };
+  misses();
+  EXPECT_TRUE(story.host.orders.empty());
+  story.router->ration_known(story.now, 2);
+  misses();
+  EXPECT_EQ(story.host.orders.size(), 1U);
+}
+
 // Seen on three hundred routers: each one's first event of a hot function went to the one place that all
 // knew.
 TEST(Index, WhatIsSeenFirstGoesToSeveralHomesAndWhatIsSeenLateToOne) {
--- a/tests/emulator/emulation_test.cpp
+++ b/tests/emulator/emulation_test.cpp
@@ -39,6 +39,20 @@
   EXPECT_NE(first.trace, play(day).trace);
 }
 
+// A router that starts again within the load window forgot what it had ordered: what the others hold brings
+// it back. The same days without it are the fault that must be found.
+TEST(EmulatedDay, RoutersThatStartAgainKeepTheirRationWhereAllHoldItTogether) {
+  for (const std::uint64_t seed : {3U, 7U, 9U}) {
+    standin::Day day = standin::scripted_bad_day(400, 80, seed);
+    EXPECT_GT(play(day).verdict.rules.at("5 loads rationed").breaks, 0) << seed;
+    day.together = true;
+    const Played played = play(day);
+    EXPECT_TRUE(played.verdict.good()) << seed << '\n' << checker::as_text(played.verdict);
+    EXPECT_GT(played.spent.tally.orders, 50U);
+    EXPECT_EQ(played.trace, play(day).trace);
+  }
+}
+
 TEST(EmulatedDay, ManyServersAndRoutersWithACrashABurstAndASlowStore) {
   const Played played = play(standin::grown_day(24, 8, 60, 600, 200, 3));
   EXPECT_TRUE(played.verdict.good()) << checker::as_text(played.verdict);
