What a peer claims makes no table grow; the way of telling stands once

Seen on rereading: partial points of streams never told were kept (told_ in conversation.cpp), and a pause was kept for any router number that a dialler claimed (far_ in replica_links.cpp); both could grow without bound. Acknowledgements now count only for what was told, pauses only for routers that may be dialled. A story sends 990 made-up points: the table stays as it was. The loop that tells stood three times; an accessor and a return value were used by nobody.

--- a/src/replica/conversation.cpp
+++ b/src/replica/conversation.cpp
@@ -59,10 +59,12 @@
     told_ = counted_ = points.summary;
     heard_points_ = true;
   } else {
+    // Acknowledgements: only of what was told to it, so that no word of the other's makes these tables grow.
     for (const auto& [id, point] : points.summary) {
+      const auto it = counted_.find(id);
+      if (it == counted_.end()) continue;
       told_[id] = point;
-      if (const auto it = counted_.find(id); it == counted_.end() || it->second.through <= point.through)
-        counted_[id] = point;
+      if (it->second.through <= point.through) it->second = point;
     }
   }
   copy_.heard_from(theirs_.writer.router, told_);
--- a/src/replica/conversation.h
+++ b/src/replica/conversation.h
@@ -43,6 +43,7 @@
   void turn(Time now);
 
   bool greeted() const { return greeted_; }
+  std::size_t streams_told() const { return told_.size(); }
   // The other is known and has told where it stands, and this copy lacks nothing of that.
   bool caught_up() const { return heard_points_ && behind() == 0; }
   const Hello& other() const { return theirs_; }
--- a/src/replicating/replica_links.cpp
+++ b/src/replicating/replica_links.cpp
@@ -100,24 +100,19 @@
   reactor_.soon([this, alive = std::weak_ptr(life_)] {
     if (alive.expired()) return;
     telling_soon_ = false;
-    for (const auto& [link, held] : links_) link->talk().turn(reactor_.now());
+    tell_now();
   });
 }
 
-bool ReplicaLinks::tell_now() {
-  bool told = false;
-  for (const auto& [link, held] : links_) {
-    link->talk().turn(reactor_.now());
-    told = told || link->talk().greeted();
-  }
-  return told;
+void ReplicaLinks::tell_now() {
+  for (const auto& [link, held] : links_) link->talk().turn(reactor_.now());
 }
 
 void ReplicaLinks::turn() {
   const Time now = reactor_.now();
   alarm_ = reactor_.at(now + turn_every, [this] { turn(); });
   if (now >= look_at_) look(now);
-  for (const auto& [link, held] : links_) link->talk().turn(now);
+  tell_now();
 }
 
 // Whom we should be linked to, given who cannot be reached now.
@@ -174,8 +169,9 @@
   const std::shared_ptr<Link> gone = it->second;
   links_.erase(it);
   gone->close();
-  if (router >= 0 && !linked_to(router)) {
-    copy_.forget(router);
+  if (router >= 0 && !linked_to(router)) copy_.forget(router);
+  // Only of those that we may dial: whoever dials us may claim any number.
+  if (router >= 0 && static_cast<std::size_t>(router) < ways_.addresses.size() && !linked_to(router)) {
     Far& far = far_[router];
     far.pause = far.pause == 0 ? first_pause : std::min(2 * far.pause, longest_pause);
     far.again_at = reactor_.now() + far.pause;
--- a/src/replicating/replica_links.h
+++ b/src/replicating/replica_links.h
@@ -34,9 +34,8 @@
   transport::Address address() const { return listener_.address(); }
   // A word was written here: it is told when the present call has returned, not with the next turn.
   void written();
-  // The same at once: the bytes are the system's when this returns, where it takes them. False: nobody is
-  // met.
-  bool tell_now();
+  // The same at once: the bytes are the system's when this returns, where it takes them.
+  void tell_now();
   // Routers with which words are being exchanged.
   std::set<int> met() const;
   // The most words that any of them is known to have and this copy lacks.
--- a/src/router/shared_state.h
+++ b/src/router/shared_state.h
@@ -21,7 +21,6 @@
   ~SharedState() override;
 
   bool ordering() override;
-  const replicating::ReplicaLinks& links() const { return links_; }
 
  private:
   void look();
--- a/tests/replica/conversation_test.cpp
+++ b/tests/replica/conversation_test.cpp
@@ -173,6 +173,19 @@
             std::string::npos);
 }
 
+TEST(ConversationStory, AcknowledgingWhatNobodyToldMakesNoTableGrow) {
+  Router a(1), b(2);
+  a.mark("e");
+  Meeting meeting(a, b);
+  meeting.settle();
+  const std::size_t before = meeting.one.streams_told();
+  for (std::uint64_t life = 10; life < 1'000; ++life) {
+    const Points made_up{.summary = {{{Kind::mark, {5, life}}, {.ended = 0, .through = 1}}}, .all = false};
+    ASSERT_TRUE(meeting.one.arrived(0, write_frame(made_up)));
+  }
+  EXPECT_EQ(meeting.one.streams_told(), before);
+}
+
 TEST(ConversationStory, ANewerBuildThatSaysMoreIsUnderstoodAsFarAsItGoes) {
   Router a(1), b(2);
   b.hello.version = 2;
