Marks between routers: an event that one router took is not run by another

Need: an event sent again to another router ran twice; nobody but the first router knew of it, and after its death nobody. Change: by traffic type marks = none, told or held. src/replica/marks decides, free of I/O; the core asks its ledger before the module hears of an event. Held: so many others have the mark and had no other of that event before it, else the event is shed unrun; a router that started vouches for nothing until it has learnt what it may have forgotten. The ration of orders waits for the same. HTTP answers 409 for what was taken before. rushhill node has no ledger: nothing changes there.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -83,22 +83,63 @@
   shares_.took(source);
   yielding_.took(open.taken, source);
   ++tally_.taken;
-  decide([&](Router& router, Time now) { router.event(now, told); });
+  const Taking how = to_.ledger == nullptr
+                         ? Taking::unmarked
+                         : to_.ledger->taking(id, told.traffic_type, open.message, told.left);
+  proceed(id, open, std::move(told), how);
   return id;
 }
 
+// What is not gone on with is answered at once.
+void Gateway::proceed(EventId event, Open& open, Event told, Taking how) {
+  open.waiting.reset();
+  switch (how) {
+    case Taking::marked:
+      open.marked = true;
+      [[fallthrough]];
+    case Taking::unmarked:
+      return decide([&](Router& router, Time now) { router.event(now, told); });
+    case Taking::wait:
+      open.marked = true;
+      open.waiting = std::move(told);
+      return;
+    case Taking::known:
+      ++tally_.abandoned;
+      ++tally_.known;
+      conclude(event, open, End::given_up, Fate::unrun);
+      return hand_over(event, [event](Client& client) { client.known(event); });
+    case Taking::not_now:
+      ++tally_.not_held;
+      return shed(event, deployment_.retry_advice ? deployment_.longest_retry_advice : 0);
+  }
+}
+
+void Gateway::marked(EventId event, Taking how) {
+  const auto it = open_.find(event);
+  if (it == open_.end() || !it->second.waiting || it->second.concluded) return;
+  Event told = std::move(*it->second.waiting);
+  const Time left = it->second.limit - to_.clock.now();
+  // In the tick of the hard limit the limit comes first.
+  if (left <= 0) return expire(event);
+  told.left = left;
+  proceed(event, it->second, std::move(told), how);
+}
+
 void Gateway::client_gone(EventId event) {
   const auto it = open_.find(event);
   if (it == open_.end() || it->second.client == nullptr) return;
   it->second.client = nullptr;
   if (it->second.concluded) return;
   ++tally_.gone;
-  conclude(event, it->second, End::gone);
+  const bool waiting = it->second.waiting.has_value();
+  conclude(event, it->second, End::gone, fate_of(it->second));
+  if (waiting) return;
   decide([&](Router& router, Time now) { router.client_gone(now, event); });
 }
 
 // From here on the event only waits for the ends of its shots.
-void Gateway::conclude(EventId event, Open& open, End end) {
+void Gateway::conclude(EventId event, Open& open, End end, Fate fate) {
+  if (open.marked) to_.ledger->ended(open.message, fate);
   shares_.ended(open.source);
   yielding_.ended(to_.clock.now(), open.source, end);
   open.concluded = true;
@@ -127,6 +168,7 @@
   if (it == open_.end()) return;
   Open& open = it->second;
   if (!open.concluded) {
+    if (open.waiting) return shed(event, 0);  // the module has not heard of it
     ++tally_.overdue;
     to_.diary.line(Level::error, "no answer by the hard limit", {{"event", open.message.id}});
     abandon(event);
@@ -163,7 +205,7 @@
   to_.clock.withdraw(ended.time_out);
   if (result.ending == Ending::honoured && !open.concluded) {
     ++tally_.honoured;
-    conclude(event, open, End::honoured);
+    conclude(event, open, End::honoured, Fate::honoured);
     std::exchange(open.client, nullptr)->honoured(event, std::move(result.reply));
   }
   tell_end(event, leg, result);
@@ -277,7 +319,7 @@
   const auto it = open_.find(event);
   if (it == open_.end() || it->second.concluded) return;
   ++tally_.shed;
-  conclude(event, it->second, End::given_up);
+  conclude(event, it->second, End::given_up, Fate::unrun);
   hand_over(event, [come_back, event](Client& client) { client.shed(event, come_back); });
 }
 
@@ -285,7 +327,7 @@
   const auto it = open_.find(event);
   if (it == open_.end() || it->second.concluded) return;
   ++tally_.abandoned;
-  conclude(event, it->second, End::given_up);
+  conclude(event, it->second, End::given_up, fate_of(it->second));
   hand_over(event, [event](Client& client) { client.abandoned(event); });
 }
 
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -20,6 +20,8 @@
 struct Tally {
   std::uint64_t taken = 0, honoured = 0, shed = 0, abandoned = 0, gone = 0, refused = 0;
   std::uint64_t overdue = 0;  // answered by the core at the hard limit, since the module had not
+  std::uint64_t known = 0,
+                not_held = 0;  // of abandoned: taken before; of shed: its mark was not held in time
   std::uint64_t shots = 0, probes = 0, orders = 0, unloads = 0, told = 0;
   std::array<std::uint64_t, 9> endings{};  // by Ending
 };
@@ -56,6 +58,8 @@
 
   void roster(RosterForm form, const std::vector<RosterEntry>& entries);
   void peer_told(int router, const std::string& bytes);
+  // What the ledger had an event wait for; from no call of this gateway's.
+  void marked(EventId event, Taking how);
   // What earlier lives ordered, where the deployment says that it is told.
   void ration_known(double orders);
 
@@ -80,6 +84,8 @@
     taking::Shares::Source source = 0;
     Client* client = nullptr;  // none: it has been handed its final answer, or its client has gone
     bool concluded = false;
+    bool marked = false;           // the ledger is to hear how it ends
+    std::optional<Event> waiting;  // for its mark; the module has not heard of it
     events::CloudEvent message;
     Time taken = 0, limit = 0;
     Alarm at_limit;
@@ -104,7 +110,9 @@
 
   void soon(Clockwork::Call call);
   using End = taking::Yielding::End;
-  void conclude(EventId event, Open& open, End end);
+  void conclude(EventId event, Open& open, End end, Fate fate);
+  static Fate fate_of(const Open& open) { return open.legs.empty() ? Fate::unrun : Fate::may_have_run; }
+  void proceed(EventId event, Open& open, Event told, Taking how);
   void hand_over(EventId event, std::function<void(Client&)> answer);
   void expire(EventId event);
   void give_up_leg(EventId event, int leg, Ending ending);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -60,6 +60,8 @@
   virtual void honoured(EventId event, events::CloudEvent reply) = 0;
   virtual void shed(EventId event, Time come_back) = 0;  // 0: no advice
   virtual void abandoned(EventId event) = 0;
+  // Instead of abandoned: it never ran here, but was taken before, here or by another router.
+  virtual void known(EventId event) { abandoned(event); }
 };
 
 class Peers {
@@ -68,11 +70,24 @@
   virtual void tell(int router, const std::string& bytes) = 0;  // -1: all
 };
 
+// What a ledger says of an event before the module hears of it.
+enum class Taking {
+  unmarked,  // go on; nothing is kept of it
+  marked,    // go on; its end is to be told
+  wait,      // for Gateway::marked, which tells one of the others
+  known,     // it was taken before, here or elsewhere, and may have run
+  not_now    // to be shed: its mark cannot be held, or this router may have forgotten it
+};
+enum class Fate { unrun, may_have_run, honoured };
+
 // Where what must outlive this router is told to others before it acts on it.
 class Ledger {
  public:
   virtual ~Ledger() = default;
   virtual bool ordering() = 0;  // an order to load is about to leave; false: it must not
+  virtual Taking taking(EventId event, const std::string& traffic_type, const events::CloudEvent& message,
+                        Time left) = 0;
+  virtual void ended(const events::CloudEvent& message, Fate fate) = 0;  // of a marked one
 };
 
 class RosterSource {
--- a/src/deployment/deployment_file.cpp
+++ b/src/deployment/deployment_file.cpp
@@ -225,6 +225,12 @@
          p.replica.listen = where_or_none(v);
        }},
       {"replica", "deployment", "rushhill", [](P& p, S v) { p.replica.deployment = name(v); }},
+      {"replica", "held-by", "0",
+       [](P& p, S v) { p.replica.held_by = static_cast<int>(whole_in(v, 0, 100)); }},
+      {"replica", "held-within", "0.2", [](P& p, S v) { p.replica.held_within = number_in(v, 0.01, 0.9); }},
+      {"replica", "mark-life", "60s", [](P& p, S v) { p.replica.mark_life = time_above_0(v); }},
+      {"replica", "most-marks", "100000",
+       [](P& p, S v) { p.replica.most_marks = static_cast<std::size_t>(whole_in(v, 1, 100'000'000)); }},
       {"log", "least", "info",
        [](P& p, S v) {
          p.log_least = word<core::Level>(v, {{"debug", core::Level::debug},
@@ -243,6 +249,7 @@
 struct TypeSection {
   TrafficType type{};
   std::string event_type{};
+  replica::MarkLevel marks = replica::MarkLevel::none;
 };
 
 const std::vector<Key<TypeSection>>& type_keys() {
@@ -266,6 +273,12 @@
              word<Group>(v, {{"all", Group::all}, {"location", Group::location}, {"cell", Group::cell}});
        }},
       {"traffic", "memory-span", "0", [](T& t, S v) { t.type.memory_span = time(v); }},
+      {"traffic", "marks", "none",
+       [](T& t, S v) {
+         t.marks = word<replica::MarkLevel>(v, {{"none", replica::MarkLevel::none},
+                                                {"told", replica::MarkLevel::told},
+                                                {"held", replica::MarkLevel::held}});
+       }},
       {"traffic", "due-stretch", "0", [](T& t, S v) { t.type.due_stretch = number_in(v, 0, 1000); }},
   };
   return all;
@@ -492,6 +505,13 @@
     const std::string event_type = row.event_type.empty() ? type : row.event_type;
     if (!program.type_of_event.emplace(event_type, type).second)
       fault(at("event-type"), "event-type", "'" + event_type + "' belongs to two traffic types");
+    if (row.marks != replica::MarkLevel::none && program.replica.listen.empty())
+      fault(at("marks"), "marks", "are told or held, but [replica] has no listen");
+    if (row.marks != replica::MarkLevel::none && row.type.effect == Effect::reissuable)
+      fault(at("marks"), "marks", "of a reissuable type bring nothing: it may run twice");
+    if (row.marks != replica::MarkLevel::none && program.replica.mark_life <= row.type.hard_limit)
+      fault(line_of("replica", "mark-life"), "mark-life", "is not longer than the hard limit of " + type);
+    if (row.marks != replica::MarkLevel::none) program.replica.marks[type] = row.marks;
     program.module.traffic_types.push_back(row.type);
   }
 
@@ -544,6 +564,15 @@
             "is miss, but without orders nothing would ever be loaded");
     if (d.reports == "probe" && !d.probing)
       fault(line_of("servers", "reports"), "reports", "come with probes, but [permissions] probing is no");
+    if (program.replica.held_by >= std::max(d.routers, 1))
+      fault(line_of("replica", "held-by"), "held-by",
+            "is more than there are other routers: no marks could be held");
+    const bool any_held = std::ranges::any_of(
+        program.replica.marks, [](const auto& type) { return type.second == replica::MarkLevel::held; });
+    if (any_held && program.replica.held_by == 0 && (d.routers < 2 || d.routers > replica::most_meeting))
+      fault(line_of("replica", "held-by"), "held-by",
+            "must be told: only 2 to " + std::to_string(replica::most_meeting) +
+                " routers can have every two takings of an event meet");
     if (!program.mqtt.topics.empty() && program.mqtt.address.empty())
       fault(line_of("mqtt", "address"), "address", "of the broker is missing in [mqtt], but topics are told");
     if (!program.mqtt.address.empty() && program.mqtt.topics.empty())
--- a/src/deployment/deployment_file.h
+++ b/src/deployment/deployment_file.h
@@ -10,6 +10,7 @@
 #include "core/ports.h"
 #include "decide.h"
 #include "mqtt/packets.h"
+#include "replica/state.h"
 
 namespace rushhill::deployment {
 
@@ -53,8 +54,13 @@
 // What routers hold together, exchanged between them; no listen: nothing is.
 struct ReplicaLinks {
   std::string listen{};
-  std::string deployment{};              // routers of another are refused
-  std::vector<std::string> addresses{};  // by router number; this router's own place is not used
+  std::string deployment{};                           // routers of another are refused
+  std::vector<std::string> addresses{};               // by router number; this router's own place is not used
+  std::map<std::string, replica::MarkLevel> marks{};  // by traffic type; not named: none
+  int held_by = 0;         // other routers that must hold a mark; 0: so many that any two takings meet
+  double held_within = 0;  // part of an event's time
+  Time mark_life = 0;
+  std::size_t most_marks = 0;  // of each router
 };
 
 // Which messages call which function: {1}, {2} in function and customer stand for the filter's wildcards.
--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -101,6 +101,12 @@
     put_problem(event, come_back_later(503, "shed", come_back, "the event was not run; it may be sent again"),
                 come_back);
   }
+  void known(EventId event) override {
+    put_problem(event,
+                problem(409, "abandoned", false,
+                        "this event was taken before, here or by another router, and may have run"),
+                0);
+  }
   void abandoned(EventId event) override {
     put_problem(event, problem(504, "abandoned", false, "given up without an answer; the event may have run"),
                 0);
@@ -157,7 +163,8 @@
       const bool good = path == "/health/live" || (front_.ready_ && !front_.winding_up_);
       return answer({.status = good ? 200 : 503,
                      .headers = {{"content-type", "text/plain"}},
-                     .body = good ? "yes\n" : "no\n"});
+                     .body = (good ? "yes\n" : "no\n") +
+                             (front_.standing_ && path == "/health/ready" ? front_.standing_() + "\n" : "")});
     }
     if (path != "/") return answer(problem(404, "unknown-path", true, "events are sent to /"));
     if (request.method != "POST") return not_allowed("POST");
--- a/src/fronts/http_front.h
+++ b/src/fronts/http_front.h
@@ -2,6 +2,7 @@
 // about servers.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +36,8 @@
   transport::Address listen(const transport::Address& address, bool shared);
   transport::Address listen_inherited(int descriptor);
   void ready(bool on) { ready_ = on; }  // what /health/ready says
+  // And how far the router is, in words for people, on a line of its own.
+  void standing(std::function<std::string()> words) { standing_ = std::move(words); }
 
   // Takes no further connection; those that stand are answered with Connection: close.
   void wind_up();
@@ -52,6 +55,7 @@
   HttpRules rules_;
   taking::Shares::Source source_;
   bool ready_ = false, winding_up_ = false;
+  std::function<std::string()> standing_;
   std::unique_ptr<transport::Listener> listener_;
   std::map<Connection*, std::shared_ptr<Connection>, transport::ByNumber> connections_;
 };
--- a/src/replica/conversation.cpp
+++ b/src/replica/conversation.cpp
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace rushhill::replica {
+namespace {
+
+constexpr std::uint32_t vouching_version = 2;  // an older one does not say whether it may have forgotten
+
+}  // namespace
 
 void Conversation::opened() { line_.send(write_frame(ours_)); }
 
@@ -51,11 +56,15 @@
     return hang_up("a second router '" + theirs.name + "'", true);
   greeted_ = true;
   theirs_ = theirs;
+  copy_.forget(theirs.writer.router);  // what an earlier life of it held
   return true;
 }
 
 void Conversation::hear(Time now, const Points& points) {
+  const bool vouches = points.vouches && theirs_.version >= vouching_version;
   if (points.all) {
+    if (!other_vouches_) first_ = points.summary;
+    other_vouches_ = other_vouches_ || vouches;
     told_ = counted_ = points.summary;
     heard_points_ = true;
   } else {
@@ -67,26 +76,38 @@
       if (it->second.through <= point.through) it->second = point;
     }
   }
-  copy_.heard_from(theirs_.writer.router, told_);
+  copy_.heard_from(theirs_.writer.router, told_, vouches, points.contested);
   turn(now);
 }
 
 void Conversation::take(Time now, const Batch& batch) {
   copy_.apply(now, batch);
   // Acknowledged: where this copy stands in the streams that were told.
-  Points taken;
+  Summary taken;
   const Summary all = copy_.summary();
   for (const Piece& piece : batch) {
-    if (const auto it = all.find(piece.stream); it != all.end()) taken.summary.insert(*it);
+    if (const auto it = all.find(piece.stream); it != all.end()) taken.insert(*it);
   }
-  line_.send(write_frame(taken));
+  line_.send(write_frame(points(taken, false)));
+}
+
+// With whatever of the other's marks came after another's, no later than what says that they are here.
+// Vouching begins for all that was ever told to be here, so that the first time that this copy vouches tells
+// of all.
+Points Conversation::points(const Summary& of, bool all) {
+  Points told{.summary = of, .all = all, .vouches = copy_.vouches(), .contested = {}};
+  if (!told.vouches) return told;
+  const StreamId marks{Kind::mark, theirs_.writer};
+  told.contested = copy_.contested_of(theirs_.writer, vouched_);
+  vouched_ = copy_.known_through(marks);
+  return told;
 }
 
 void Conversation::turn(Time now) {
   if (!greeted_ || !reason_.empty() || line_.unsent() > pace_.unsent) return;
   if (now >= points_due_) {
     points_due_ = now + pace_.points_every;
-    line_.send(write_frame(Points{.summary = copy_.summary(), .all = true}));
+    line_.send(write_frame(points(copy_.summary(), true)));
   }
   if (!heard_points_) return;
   const Batch batch = copy_.lacking(now, counted_, pace_.words);
--- a/src/replica/conversation.h
+++ b/src/replica/conversation.h
@@ -46,6 +46,10 @@
   std::size_t streams_told() const { return told_.size(); }
   // The other is known and has told where it stands, and this copy lacks nothing of that.
   bool caught_up() const { return heard_points_ && behind() == 0; }
+  // This copy has all that the other held when it was first heard to vouch; or, while it does not, all that
+  // it held when it was last heard.
+  bool learnt() const { return heard_points_ && copy_.behind(first_) == 0; }
+  bool other_vouches() const { return other_vouches_; }
   const Hello& other() const { return theirs_; }
   const std::string& reason() const { return reason_; }
   // Words that the other was last known to have and this copy lacks; nothing known: none.
@@ -55,6 +59,7 @@
   bool meet(const Hello& theirs);
   void hear(Time now, const Points& points);
   void take(Time now, const Batch& batch);
+  Points points(const Summary& of, bool all);
   bool hang_up(const std::string& reason, bool say);
 
   Hello ours_, theirs_{};
@@ -64,6 +69,9 @@
   FrameReader reader_;
   Summary told_;     // where the other said that it stands
   Summary counted_;  // with what has been told to it since
+  Summary first_;
+  std::uint64_t vouched_ = 0;  // of the other's marks: through here it has been told what met another's
+  bool other_vouches_ = false;
   bool greeted_ = false, heard_points_ = false;
   Time points_due_ = 0;
   std::string reason_;
--- a/src/replica/frames.cpp
+++ b/src/replica/frames.cpp
@@ -47,6 +47,8 @@
 wire::Frame message(const Points& points) {
   wire::Frame frame;
   frame.mutable_points()->set_all(points.all);
+  frame.mutable_points()->set_young(!points.vouches);
+  for (const std::uint64_t number : points.contested) frame.mutable_points()->add_contested(number);
   for (const auto& [id, point] : points.summary) {
     wire::Point& out = *frame.mutable_points()->add_point();
     tell(*out.mutable_stream(), id);
@@ -85,7 +87,10 @@
 }
 
 Points points_of(const wire::Points& in) {
-  Points points{.summary = {}, .all = in.all()};
+  Points points{.summary = {},
+                .all = in.all(),
+                .vouches = !in.young(),
+                .contested = {in.contested().begin(), in.contested().end()}};
   for (const wire::Point& point : in.point()) {
     const auto id = heard(point.stream());
     if (id && point.ended() <= point.through())
--- a/src/replica/frames.h
+++ b/src/replica/frames.h
@@ -14,7 +14,7 @@
 constexpr std::size_t longest_name = 128;          // bytes of a router's or a deployment's name
 
 struct Hello {
-  std::uint32_t version = 1, least_version = 1;
+  std::uint32_t version = 2, least_version = 1;
   std::string deployment{}, name{};
   Writer writer{};
 };
@@ -22,6 +22,8 @@
 struct Points {
   Summary summary{};
   bool all = false;
+  bool vouches = true;                     // the teller's copy may be counted as holding
+  std::vector<std::uint64_t> contested{};  // of the hearer's marks: numbers that met another's taking
 };
 
 struct Refusal {
--- a/src/replica/replica.cpp
+++ b/src/replica/replica.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <stdexcept>
 #include <tuple>
 #include <utility>
@@ -16,6 +17,13 @@
   return XXH64(key.data(), key.size(), XXH64(figures.data(), sizeof figures, 0));
 }
 
+// In the tests' build alone: copies that merge wrongly, so that a played day shows whether it would be seen.
+#ifdef RUSHHILL_PLANTING
+const bool planted = std::getenv("RUSHHILL_PLANT_FORGETFUL") != nullptr;
+#else
+constexpr bool planted = false;
+#endif
+
 }  // namespace
 
 Replica::Replica(Writer me, const Bounds& bounds, Findings& findings)
@@ -40,13 +48,33 @@
 void Replica::put(const StreamId& id, Stream& stream, const std::string& key, std::uint64_t number, Row row) {
   stream.point.digest ^= digest_of(number, key, row.rank, row.count);
   const auto it = index_[at(id.kind)].try_emplace(key).first;
-  it->second.push_back({id, number});
   row.key = &it->first;
+  if (id.kind == Kind::mark) meet(id, it->second, number, row);
+  it->second.push_back({id, number});
   stream.rows.insert_or_assign(number, row);
   ++sizes_[at(id.kind)];
 }
 
+// Two lives that both took one event: the later one here is to hear of it before it counts its mark as held.
+void Replica::meet(const StreamId& id, const std::vector<Holder>& holders, std::uint64_t number,
+                   const Row& row) {
+  if (stage_of(row.rank) < Stage::taken || planted) return;
+  for (const Holder& other : holders) {
+    const Stage theirs = stage_of(streams_.at(other.stream).rows.at(other.number).rank);
+    if (theirs < Stage::taken) continue;
+    contested_[id].insert(number);
+    if (!vouches_) contested_[other.stream].insert(other.number);
+    if (theirs == Stage::honoured && stage_of(row.rank) == Stage::honoured)
+      findings_.honoured_twice(*row.key, id.writer, other.stream.writer);
+  }
+}
+
 void Replica::drop(const StreamId& id, Stream& stream, std::map<std::uint64_t, Row>::iterator row) {
+  if (id == StreamId{Kind::mark, me_}) contested_by_.erase(row->first);
+  if (const auto it = contested_.find(id); it != contested_.end()) {
+    it->second.erase(row->first);
+    if (it->second.empty()) contested_.erase(it);
+  }
   stream.point.digest ^= digest_of(row->first, *row->second.key, row->second.rank, row->second.count);
   Index& index = index_[at(id.kind)];
   const auto it = index.find(*row->second.key);
@@ -106,6 +134,27 @@
   return total;
 }
 
+Stage Replica::stage(const std::string& event) const {
+  Stage strictest = Stage::none;
+  if (planted) return strictest;
+  each_holder(Kind::mark, event,
+              [&](const Row& row) { strictest = std::max(strictest, stage_of(row.rank)); });
+  return strictest;
+}
+
+std::uint64_t Replica::take_event(Time now, const std::string& event) {
+  return end_event(now, event, Stage::taken);
+}
+
+std::uint64_t Replica::end_event(Time now, const std::string& event, Stage how) {
+  const StreamId id{Kind::mark, me_};
+  const std::uint64_t known = number_of(id, event);
+  const std::uint32_t rank = known == 0 ? 0 : streams_.at(id).rows.at(known).rank;
+  std::uint32_t taking = rank / ranks_a_taking;
+  if (how == Stage::shed && stage_of(rank) > Stage::shed) ++taking;
+  return write(now, Kind::mark, event, taking * ranks_a_taking + static_cast<std::uint32_t>(how));
+}
+
 std::uint64_t Replica::written_before(Kind kind) const {
   std::uint64_t total = 0;
   for (const auto& [id, stream] : streams_) {
@@ -117,9 +166,8 @@
 
 bool Replica::honoured_twice(const std::string& event) const {
   int times = 0;
-  each_holder(Kind::mark, event, [&](const Row& row) {
-    times += row.rank == static_cast<std::uint32_t>(Stage::honoured) ? 1 : 0;
-  });
+  each_holder(Kind::mark, event,
+              [&](const Row& row) { times += stage_of(row.rank) == Stage::honoured ? 1 : 0; });
   return times > 1;
 }
 
@@ -173,6 +221,11 @@
   return batch;
 }
 
+std::uint64_t Replica::known_through(const StreamId& stream) const {
+  const auto it = streams_.find(stream);
+  return it == streams_.end() ? 0 : it->second.point.through;
+}
+
 std::uint64_t Replica::behind(const Summary& theirs) const {
   std::uint64_t words = 0;
   for (const auto& [id, point] : theirs) {
@@ -253,18 +306,56 @@
   put(id, stream, word.key, word.number, {.rank = word.rank, .count = word.count, .written = now - word.age});
 }
 
-void Replica::heard_from(int router, const Summary& theirs) {
+void Replica::heard_from(int router, const Summary& theirs, bool vouches,
+                         const std::vector<std::uint64_t>& contested) {
   for (const auto& [id, point] : theirs) {
     if (id.writer == me_ && point.through > streams_.at(id).point.through) findings_.second_of_us(me_);
   }
-  theirs_[router] = theirs;
+  theirs_[router] = {theirs, vouches};
+  const Stream& marks = streams_.at({Kind::mark, me_});
+  for (const std::uint64_t number : contested) {
+    if (marks.rows.contains(number)) contested_by_[number].insert(router);
+  }
+}
+
+void Replica::forget(int router) {
+  theirs_.erase(router);
+  for (auto& [number, routers] : contested_by_) routers.erase(router);
+}
+
+int Replica::contesting(std::uint64_t number) const {
+  const auto it = contested_by_.find(number);
+  return it == contested_by_.end() ? 0 : static_cast<int>(it->second.size());
+}
+
+std::vector<std::uint64_t> Replica::contested_of(const Writer& writer, std::uint64_t after) const {
+  const auto it = contested_.find({Kind::mark, writer});
+  if (it == contested_.end()) return {};
+  return {it->second.upper_bound(after), it->second.end()};
+}
+
+std::uint64_t Replica::held_through(Kind kind, int others) const {
+  std::vector<std::uint64_t> through;
+  for (const auto& [router, theirs] : theirs_) {
+    const auto it = theirs.summary.find({kind, me_});
+    if (theirs.vouches && router != me_.router && it != theirs.summary.end())
+      through.push_back(it->second.through);
+  }
+  if (others <= 0) return streams_.at({kind, me_}).point.through;
+  const auto place = static_cast<std::size_t>(others) - 1;
+  if (place >= through.size()) return 0;
+  std::ranges::nth_element(through, through.begin() + static_cast<std::ptrdiff_t>(place), std::greater<>{});
+  return through[place];
 }
 
 int Replica::holders(Kind kind, std::uint64_t number) const {
   const StreamId mine{kind, me_};
+  const auto contested = contested_by_.find(number);
   return static_cast<int>(std::ranges::count_if(theirs_, [&](const auto& item) {
-    const auto it = item.second.find(mine);
-    return it != item.second.end() && it->second.through >= number;
+    if (kind == Kind::mark && contested != contested_by_.end() && contested->second.contains(item.first))
+      return false;
+    const auto it = item.second.summary.find(mine);
+    return item.second.vouches && it != item.second.summary.end() && it->second.through >= number;
   }));
 }
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <functional>
+#include <set>
 
 #include "replica/state.h"
 
@@ -36,6 +37,8 @@
   virtual void copies_differed(const StreamId& stream, const Word& stands, const Word& gone) = 0;
   // Somebody tells words of this router's incarnation that it never wrote.
   virtual void second_of_us(const Writer& writer) = 0;
+  // Two lives of routers concluded one event as honoured, which no level permits.
+  virtual void honoured_twice(const std::string& event, const Writer& one, const Writer& other) = 0;
 };
 
 class Replica {
@@ -51,6 +54,11 @@
   // Over all routers: the highest rank, the sum of the counts.
   std::uint32_t strictest(Kind kind, const std::string& key) const;
   std::uint64_t sum(Kind kind, const std::string& key) const;
+  // Of an event over all routers, each at its latest taking of it.
+  Stage stage(const std::string& event) const;
+  // This router takes an event, or ends one that it took; as `write`.
+  std::uint64_t take_event(Time now, const std::string& event);
+  std::uint64_t end_event(Time now, const std::string& event, Stage how);
   // Of this router's earlier lives, over all keys.
   std::uint64_t written_before(Kind kind) const;
   // Whether more than one life of a router concluded the event as honoured, which no level permits.
@@ -61,15 +69,31 @@
   Batch lacking(Time now, const Summary& theirs, std::size_t most);
   // How many words told by these points are not here.
   std::uint64_t behind(const Summary& theirs) const;
+  // 0: nothing of that stream.
+  std::uint64_t known_through(const StreamId& stream) const;
   // Takes what is new; pieces that begin beyond what is known, or break a bound, are passed over whole or
   // from there on, and will be told again.
   void apply(Time now, const Batch& batch);
 
-  // What the other router is known to have; forgotten with it.
-  void heard_from(int router, const Summary& theirs);
-  void forget(int router) { theirs_.erase(router); }
-  // Others that have this router's word.
+  // What the other router is known to have; forgotten with it. One that does not vouch, since it started not
+  // long ago and may have forgotten, holds nothing. `contested`: this router's marks that came there after
+  // another's of the same event.
+  void heard_from(int router, const Summary& theirs, bool vouches = true,
+                  const std::vector<std::uint64_t>& contested = {});
+  void forget(int router);
+  // Others that have this router's word, a mark before any other of its event; and the number through which
+  // so many have them.
   int holders(Kind kind, std::uint64_t number) const;
+  std::uint64_t held_through(Kind kind, int others) const;
+  // Others at which this router's mark came after another's of the same event; and all such marks.
+  int contesting(std::uint64_t number) const;
+  const std::map<std::uint64_t, std::set<int>>& contested() const { return contested_by_; }
+  // A writer's marks beyond `after` that came here after another's. Of two that both came before this copy
+  // vouched, nobody knows which was first: both.
+  std::vector<std::uint64_t> contested_of(const Writer& writer, std::uint64_t after) const;
+  // Whether this copy may stand for what its router held before it was started; as told by the owner.
+  void vouch(bool on) { vouches_ = on; }
+  bool vouches() const { return vouches_; }
 
   // Drops what has lapsed.
   void pass(Time now);
@@ -107,6 +131,7 @@
   void end_through(const StreamId& id, Stream& stream, std::uint64_t number);
   bool take(Time now, const StreamId& id, Stream& stream, const Word& word);
   void settle(Time now, const StreamId& id, Stream& stream, const Word& word);
+  void meet(const StreamId& id, const std::vector<Holder>& holders, std::uint64_t number, const Row& row);
   template <typename Visit>
   void each_holder(Kind kind, const std::string& key, Visit visit) const;
 
@@ -116,7 +141,14 @@
   std::map<StreamId, Stream> streams_;
   std::array<Index, kinds> index_;
   std::array<std::size_t, kinds> sizes_{};
-  std::map<int, Summary> theirs_;
+  struct Theirs {
+    Summary summary;
+    bool vouches = true;
+  };
+  std::map<int, Theirs> theirs_;
+  std::map<StreamId, std::set<std::uint64_t>> contested_;  // of rows that stand
+  std::map<std::uint64_t, std::set<int>> contested_by_;    // of rows of this router's
+  bool vouches_ = true;
   std::map<StreamId, std::uint64_t> repaired_;  // of copies that differ: told again through here
 };
 
--- a/src/replica/state.h
+++ b/src/replica/state.h
@@ -16,9 +16,23 @@
 enum class Kind { mark, ration, quota, departure, hint };
 constexpr int kinds = 5;
 
-// How far an event came at one router. Across routers the strictest counts: what may have run is never
-// outvoted by a router at which it did not.
-enum class Stage : std::uint32_t { none, taken, shed, may_have_run, abandoned, honoured };
+// How far an event came at one router; from `taken` on a shot may have run. Across routers the strictest
+// counts: what may have run is never outvoted by a router at which it did not.
+enum class Stage : std::uint32_t { none, shed, taken, abandoned, honoured };
+
+// A mark's rank: a router that shed an event, unrun, may take it once more, and its rank still never falls.
+constexpr std::uint32_t ranks_a_taking = 8;
+constexpr Stage stage_of(std::uint32_t rank) { return static_cast<Stage>(rank % ranks_a_taking); }
+
+// How a traffic type's marks are kept; docs/replication.md says what each promises.
+enum class MarkLevel {
+  none,
+  told,  // sent to the others before the first shot, not waited for
+  held   // so many others have it before the first shot
+};
+
+// Routers that all exchange their copies with one another, so that a mark can be held by more than half.
+constexpr int most_meeting = 16;
 
 // One life of one router. Incarnations are drawn at random at each start; they are told apart, never ordered.
 struct Writer {
--- a/src/replicating/replica_links.cpp
+++ b/src/replicating/replica_links.cpp
@@ -46,6 +46,7 @@
     const bool good = talk_.arrived(heard_, bytes);
     if (!met && talk_.greeted()) links_.greeted(*this);
     if (!good) links_.end(*this, talk_.reason());
+    if (links_.ways_.heard) links_.ways_.heard();
   }
   void lost(transport::Loss why) override {
     links_.end(*this, why == transport::Loss::refused ? "refused" : "lost");
@@ -130,7 +131,8 @@
     const bool reachable = !ways_.addresses[i].empty() && (far == far_.end() || now >= far->second.again_at);
     if (reachable || linked_to(router)) there.insert(router);
   }
-  for (const int router : replica::neighbours(ways_.hello.writer.router, there)) {
+  there.erase(ways_.hello.writer.router);
+  for (const int router : ways_.everybody ? there : replica::neighbours(ways_.hello.writer.router, there)) {
     if (linked_to(router) || links_.size() >= most_links) continue;
     const auto link = std::make_shared<Link>(
         *this, router, transport::numeric_address(ways_.addresses[static_cast<std::size_t>(router)]));
@@ -152,9 +154,12 @@
   const auto links = links_;
   for (const auto& [other, held] : links) {
     if (other == &link || other->router() != router) continue;
-    // Of two that the same side dialled, the newer: the older is of a life that has ended, or stalled.
+    // Of two that the same side dialled, the newer: the older is stalled, or of a life that has ended. A way
+    // to another life of that router has ended too, whoever dialled it.
     const bool same_side = (other->dialled() >= 0) == (link.dialled() >= 0);
-    const bool link_stays = same_side || (link.dialled() >= 0) == ours_stays;
+    const bool another_life =
+        other->talk().greeted() && other->talk().other().writer != link.talk().other().writer;
+    const bool link_stays = same_side || another_life || (link.dialled() >= 0) == ours_stays;
     if (!link_stays && !other->talk().greeted()) continue;
     end(link_stays ? *other : link, "");
     if (!link_stays) return;
@@ -196,6 +201,17 @@
          std::ranges::all_of(links_, [](const auto& item) { return item.second->talk().caught_up(); });
 }
 
+ReplicaLinks::Learnt ReplicaLinks::learnt() const {
+  std::map<int, bool> others;
+  for (const auto& [link, held] : links_) {
+    const replica::Conversation& talk = link->talk();
+    if (talk.greeted() && talk.learnt() && link->router() != ways_.hello.writer.router)
+      others[link->router()] |= talk.other_vouches();
+  }
+  const auto vouching = std::ranges::count_if(others, [](const auto& other) { return other.second; });
+  return {static_cast<int>(others.size()), static_cast<int>(vouching)};
+}
+
 std::uint64_t ReplicaLinks::behind() const {
   std::uint64_t most = 0;
   for (const auto& [link, held] : links_) {
--- a/src/replicating/replica_links.h
+++ b/src/replicating/replica_links.h
@@ -3,6 +3,7 @@
 // in its place; it is tried again after a pause.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,6 +22,8 @@
   std::vector<std::string> addresses{};  // by router number; empty: cannot be reached
   replica::Hello hello{};                // who we are
   replica::Pace pace{};
+  bool everybody = false;            // asked, not some neighbours only: for few routers
+  std::function<void()> heard = {};  // another has told something; may be empty
 };
 
 class ReplicaLinks {
@@ -42,6 +45,12 @@
   std::uint64_t behind() const;
   // Everybody that is asked has answered, at least one, and this copy lacks nothing that they have.
   bool caught_up() const;
+  // Of how many other routers this copy has all that they held when they were first heard: all, and those of
+  // them that vouch for it.
+  struct Learnt {
+    int all = 0, vouching = 0;
+  };
+  Learnt learnt() const;
   std::size_t links() const { return links_.size(); }
 
  private:
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -66,8 +66,10 @@
                        [this](int router, const std::string& bytes) { gateway_.peer_told(router, bytes); })),
       shared_(program.replica.listen.empty()
                   ? nullptr
-                  : std::make_unique<SharedState>(reactor, program, seed, diary,
-                                                  [this](double orders) { gateway_.ration_known(orders); })),
+                  : std::make_unique<SharedState>(
+                        reactor, program, seed, diary,
+                        [this](double orders) { gateway_.ration_known(orders); },
+                        [this](EventId event, core::Taking how) { gateway_.marked(event, how); })),
       roster_(program.roster.address.empty()
                   ? nullptr
                   : std::make_unique<membership::RosterClient>(
@@ -94,6 +96,7 @@
               .weight = program.http.weight,
               .come_back = program.module.retry_advice ? program.module.longest_retry_advice : 0}) {
   pool_.report_to(gateway_);
+  if (shared_) front_.standing([this] { return shared_->standing(); });
   const membership::RosterWord recalled = recall(reactor, program.roster.remembered, diary);
   gateway_.roster(recalled.form, recalled.entries);
   if (roster_ && !program.module.roster_on_request) roster_->follow(true);
@@ -144,6 +147,8 @@
                         {"honoured", tally.honoured},
                         {"shed", tally.shed},
                         {"abandoned", tally.abandoned},
+                        {"known", tally.known},
+                        {"not_held", tally.not_held},
                         {"gone", tally.gone},
                         {"refused", tally.refused},
                         {"overdue", tally.overdue},
--- a/src/router/shared_state.cpp
+++ b/src/router/shared_state.cpp
@@ -12,12 +12,20 @@
 constexpr Time look_every = 100;          // between looks whether the ration is known
 constexpr Time word_life = 60 * second;   // of kinds that nothing hangs on yet
 constexpr Time drift = second;            // and a hundredth: clocks of two machines over a window
+constexpr Time told_after = 2 * second;   // told marks are taken from then on at the latest, settled or not
 constexpr int window_parts = 16;          // buckets of a window; a word each
 constexpr std::size_t own_words = 1'000;  // a kind; a window's buckets, many times over
 constexpr std::size_t lives_kept = 20;    // of each router; more in one window are refused, and said
 
 Time ration_life(Time window) { return window + window / 100 + drift; }
 
+Time mark_life(const deployment::ReplicaLinks& of) { return of.mark_life + of.mark_life / 100 + drift; }
+
+// So many that two takings of one event, each with its holders, have a router in common.
+int others_of(const deployment::Program& program) {
+  return program.replica.held_by > 0 ? program.replica.held_by : program.module.routers / 2;
+}
+
 replica::Bounds bounds_of(const deployment::Program& program) {
   const auto routers = static_cast<std::size_t>(std::max(program.module.routers, 1));
   replica::Bounds bounds;
@@ -25,6 +33,10 @@
   bounds.life[static_cast<std::size_t>(replica::Kind::ration)] = ration_life(program.module.load_window);
   bounds.own.fill(own_words);
   bounds.together.fill(own_words * routers);
+  const auto marks = static_cast<std::size_t>(replica::Kind::mark);
+  bounds.life[marks] = mark_life(program.replica);
+  bounds.own[marks] = program.replica.most_marks;
+  bounds.together[marks] = program.replica.most_marks * routers;
   bounds.streams = replica::kinds * routers * lives_kept;
   bounds.horizon = 2 * *std::ranges::max_element(bounds.life);
   return bounds;
@@ -40,34 +52,114 @@
 }  // namespace
 
 SharedState::SharedState(transport::Reactor& reactor, const deployment::Program& program, std::uint64_t seed,
-                         core::Diary& diary, RationKnown known)
-    : reactor_(reactor), diary_(diary), window_(program.module.load_window), born_(reactor.now()),
-      known_(std::move(known)),
+                         core::Diary& diary, RationKnown known, Marked marked)
+    : reactor_(reactor), diary_(diary), told_(program.replica), routers_(program.module.routers),
+      others_(others_of(program)), window_(program.module.load_window), born_(reactor.now()),
+      known_(std::move(known)), marked_(std::move(marked)),
       copy_({program.module.me, incarnation_of(seed, reactor.clock_ns())}, bounds_of(program), *this),
+      marks_(copy_, routers_, others_, *this),
       links_(reactor,
              {.listen = program.replica.listen,
               .addresses = program.replica.addresses,
               .hello = {.deployment = program.replica.deployment,
                         .name = "router-" + std::to_string(program.module.me),
-                        .writer = copy_.me()}},
+                        .writer = copy_.me()},
+              .everybody = routers_ <= replica::most_meeting,
+              .heard = [this] { marks_.heard(); }},
              copy_, diary) {
-  if (window_ > 0) alarm_ = reactor_.at(born_ + look_every, [this] { look(); });
+  ration_known_ = window_ <= 0;
+  settled_ = told_.marks.empty() && ration_known_;
+  copy_.vouch(settled_);
+  if (!settled_ || !ration_known_) alarm_ = reactor_.at(born_ + look_every, [this] { look(); });
+}
+SharedState::~SharedState() {
+  reactor_.withdraw(alarm_);
+  reactor_.withdraw(by_);
+}
+
+// Whatever an earlier life of this router held is here again: all others were met, or so many that vouch for
+// what they hold that one of them shares it. Where more routers than that cannot be met, whoever is asked.
+bool SharedState::learnt(Time now) const {
+  const replicating::ReplicaLinks::Learnt learnt = links_.learnt();
+  if (!replica::every_two_meet(routers_, others_) || routers_ > replica::most_meeting)
+    return links_.caught_up();
+  return now > born_ && replica::settled(routers_, others_, learnt.all, learnt.vouching);
 }
-SharedState::~SharedState() { reactor_.withdraw(alarm_); }
 
-// Known once this copy has caught up with all that it asks; where nobody is there, once whatever an earlier
-// life ordered counts no more.
+// Where nobody is there, it is as good once whatever an earlier life wrote counts no more.
 void SharedState::look() {
   const Time now = reactor_.now();
-  const bool lapsed = now - born_ >= ration_life(window_);
-  if (!lapsed && !links_.caught_up()) {
-    alarm_ = reactor_.at(now + look_every, [this] { look(); });
-    return;
+  const bool all_here = learnt(now);
+  if (!ration_known_ && (all_here || now - born_ >= ration_life(window_))) {
+    ration_known_ = true;
+    const std::uint64_t orders = all_here ? copy_.written_before(replica::Kind::ration) : 0;
+    diary_.line(
+        Level::info, "ration known",
+        {{"orders of earlier lives", std::to_string(orders)}, {"nobody there", all_here ? "no" : "yes"}});
+    known_(static_cast<double>(orders));
+  }
+  const Time longest = std::max(told_.marks.empty() ? 0 : mark_life(told_), ration_life(window_));
+  if (!settled_ && (all_here || now - born_ >= longest)) {
+    settled_ = true;
+    copy_.vouch(true);
+    diary_.line(Level::info, "settled among the routers",
+                {{"marks", std::to_string(copy_.size(replica::Kind::mark))},
+                 {"ms", std::to_string((now - born_) / 10)}});
   }
-  const std::uint64_t orders = lapsed ? 0 : copy_.written_before(replica::Kind::ration);
-  diary_.line(Level::info, "ration known",
-              {{"orders of earlier lives", std::to_string(orders)}, {"nobody there", lapsed ? "yes" : "no"}});
-  known_(static_cast<double>(orders));
+  if (!settled_ || !ration_known_) alarm_ = reactor_.at(now + look_every, [this] { look(); });
+}
+
+core::Taking SharedState::taking(EventId event, const std::string& traffic_type,
+                                 const events::CloudEvent& message, Time left) {
+  const auto type = told_.marks.find(traffic_type);
+  if (type == told_.marks.end()) return core::Taking::unmarked;
+  const Time now = reactor_.now();
+  const bool held = type->second == replica::MarkLevel::held;
+  if (!settled_ && (held || now - born_ < told_after)) return core::Taking::not_now;
+  const Time by = now + static_cast<Time>(told_.held_within * static_cast<double>(left));
+  switch (marks_.take(now, event, replica::mark_of(message.source, message.id), type->second, by)) {
+    case replica::Taking::known:
+      return core::Taking::known;
+    case replica::Taking::full:
+      return core::Taking::not_now;
+    case replica::Taking::go:
+      links_.tell_now();
+      return core::Taking::marked;
+    case replica::Taking::wait:
+      links_.tell_now();
+      set_alarm();
+      return core::Taking::wait;
+  }
+  return core::Taking::not_now;
+}
+
+void SharedState::ended(const events::CloudEvent& message, core::Fate fate) {
+  const replica::Stage stage = fate == core::Fate::unrun      ? replica::Stage::shed
+                               : fate == core::Fate::honoured ? replica::Stage::honoured
+                                                              : replica::Stage::abandoned;
+  marks_.ended(reactor_.now(), replica::mark_of(message.source, message.id), stage);
+  links_.written();
+}
+
+void SharedState::set_alarm() {
+  const Time next = marks_.next();
+  if (next == 0 || by_.at == next) return;
+  reactor_.withdraw(by_);
+  by_ = reactor_.at(next, [this] {
+    by_ = {};
+    marks_.pass(reactor_.now());
+    set_alarm();
+  });
+}
+
+void SharedState::may_go(std::int64_t event) { marked_(event, core::Taking::marked); }
+void SharedState::taken_elsewhere(std::int64_t event) { marked_(event, core::Taking::known); }
+void SharedState::not_held(std::int64_t event) { marked_(event, core::Taking::not_now); }
+
+std::string SharedState::standing() const {
+  return "copies exchanged with " + std::to_string(links_.met().size()) + " of " +
+         std::to_string(routers_ - 1) + ", words lacking " + std::to_string(links_.behind()) + ", marks " +
+         std::to_string(copy_.size(replica::Kind::mark)) + (settled_ ? ", settled" : ", not settled yet");
 }
 
 // Told before the order leaves, so that it outlives this router wherever one that was told lives on.
@@ -94,6 +186,13 @@
        {"stands", stands.key + " " + std::to_string(stands.rank) + " " + std::to_string(stands.count)},
        {"gone", gone.key + " " + std::to_string(gone.rank) + " " + std::to_string(gone.count)}});
 }
+void SharedState::honoured_twice(const std::string& event, const replica::Writer& one,
+                                 const replica::Writer& other) {
+  diary_.line(Level::error, "an event was honoured twice",
+              {{"event", event},
+               {"router", std::to_string(one.router)},
+               {"and router", std::to_string(other.router)}});
+}
 void SharedState::second_of_us(const replica::Writer& writer) {
   diary_.line(Level::error, "a second router of this number and life",
               {{"router", std::to_string(writer.router)}});
--- a/src/router/shared_state.h
+++ b/src/router/shared_state.h
@@ -1,5 +1,7 @@
-// What this router holds together with the others, on its way to them: the orders it gives are told before
-// they leave, and after a start it hears what its earlier lives ordered before it orders anything.
+// What this router holds together with the others, on its way to them: the orders it gives and the marks of
+// the events it takes are told before they leave. After a start it hears what its earlier lives ordered
+// before it orders anything, and is settled, so that no mark that it may have forgotten can be missed, before
+// it takes a marked event or counts as a holder.
 #pragma once
 
 #include <functional>
@@ -7,23 +9,38 @@
 
 #include "core/ports.h"
 #include "deployment/deployment_file.h"
+#include "replica/marks.h"
 #include "replicating/replica_links.h"
 
 namespace rushhill::router {
 
-class SharedState final : public core::Ledger, replica::Findings {
+class SharedState final : public core::Ledger, replica::Findings, replica::Taker {
  public:
   using RationKnown = std::function<void(double orders)>;
+  using Marked = std::function<void(EventId event, core::Taking how)>;
   // Listens at once; throws where the address cannot be had. `known` is called once, where orders are
-  // rationed.
+  // rationed; `marked` for each event that waits for its mark.
   SharedState(transport::Reactor& reactor, const deployment::Program& program, std::uint64_t seed,
-              core::Diary& diary, RationKnown known);
+              core::Diary& diary, RationKnown known, Marked marked);
   ~SharedState() override;
 
   bool ordering() override;
+  core::Taking taking(EventId event, const std::string& traffic_type, const events::CloudEvent& message,
+                      Time left) override;
+  void ended(const events::CloudEvent& message, core::Fate fate) override;
+
+  // How far this copy is, for people.
+  std::string standing() const;
 
  private:
   void look();
+  bool learnt(Time now) const;
+  void set_alarm();
+  void may_go(std::int64_t event) override;
+  void taken_elsewhere(std::int64_t event) override;
+  void not_held(std::int64_t event) override;
+  void honoured_twice(const std::string& event, const replica::Writer& one,
+                      const replica::Writer& other) override;
   void full(replica::Kind kind) override;
   void copies_differed(const replica::StreamId& stream, const replica::Word& stands,
                        const replica::Word& gone) override;
@@ -31,11 +48,16 @@
 
   transport::Reactor& reactor_;
   core::Diary& diary_;
+  const deployment::ReplicaLinks told_;
+  const int routers_, others_;  // in all; that must hold a mark
   const Time window_, born_;
   RationKnown known_;
+  Marked marked_;
   replica::Replica copy_;
+  replica::Marks marks_;
   replicating::ReplicaLinks links_;
-  core::Alarm alarm_;
+  core::Alarm alarm_, by_;
+  bool settled_ = false, ration_known_ = false;
   std::uint64_t bucket_orders_ = 0;
   Time bucket_ = 0;
 };
--- a/tests/replica/conversation_test.cpp
+++ b/tests/replica/conversation_test.cpp
@@ -15,6 +15,7 @@
   void full(Kind) override {}
   void copies_differed(const StreamId&, const Word&, const Word&) override { ++differed; }
   void second_of_us(const Writer&) override {}
+  void honoured_twice(const std::string&, const Writer&, const Writer&) override {}
   int differed = 0;
 };
 
--- a/tests/replicating/replica_links_test.cpp
+++ b/tests/replicating/replica_links_test.cpp
@@ -23,6 +23,7 @@
     ++differed;
   }
   void second_of_us(const replica::Writer&) override {}
+  void honoured_twice(const std::string&, const replica::Writer&, const replica::Writer&) override {}
   int differed = 0;
 };
 
