--- a/src/checker/judge.h
+++ b/src/checker/judge.h
@@ -21,7 +21,11 @@
   std::map<std::string, std::int64_t> outcomes;
   std::int64_t events = 0, shots = 0, orders = 0;
   std::int64_t redelivered = 0, repeated_answers = 0;  // messages of a broker
-  double due_share = 0;                                // honoured within the due time, of all
+  std::int64_t excused = 0;     // events whose router was stopped or killed while they waited for it
+  std::int64_t sent_again = 0;  // events that must not run twice, at more than one router or life
+  std::int64_t ran_twice = 0;   // of them
+  std::int64_t router_kills = 0, router_stalls = 0;
+  double due_share = 0;  // honoured within the due time, of all
   double shots_an_event = 0;
   double added_median_ms = 0,
          added_p99_ms = 0;  // of events honoured by one shot: beside the server's own time
--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -22,6 +22,7 @@
 #include "standin/broker.h"
 #include "standin/clients.h"
 #include "standin/fleet.h"
+#include "standin/links.h"
 #include "standin/roster_board.h"
 #include "transport/loop.h"
 
@@ -95,6 +96,25 @@
   return 0;
 }
 
+int links(const StandinPart& part) {
+  const standin::Day day = standin::day_from_json(file_text(part.day_file));
+  transport::Loop reactor;
+  std::vector<transport::Address> copies;
+  for (const std::string& router : part.routers) copies.push_back(transport::numeric_address(router));
+  if (static_cast<int>(copies.size()) != day.routers)
+    throw std::invalid_argument("as many --router as the day has routers are needed");
+  standin::Links all(reactor, day, copies);
+  std::string line = "ready";
+  for (int from = 0; from < day.routers; ++from) {
+    for (int to = 0; to < day.routers; ++to) line += " " + all.address(from, to).toString();
+  }
+  std::cout << line << std::endl;
+  if (!part.start_file.empty())
+    standin::await_start(reactor, part.start_file, [&](Time start) { all.play(start); });
+  run(reactor);
+  return 0;
+}
+
 int clients(const StandinPart& part) {
   const standin::Day day = standin::day_from_json(file_text(part.day_file));
   standin::Record record(part.record_file);
@@ -217,6 +237,11 @@
   common(on_clients);
   on_clients->add_option("--router", part.routers, "a router's address; may be given again")->required();
 
+  auto* on_links =
+      on_standin->add_subcommand("links", "the ways between routers' copies, with the day's faults");
+  common(on_links);
+  on_links->add_option("--router", part.routers, "a router's address for copies, in their order")->required();
+
   on_clients->add_option("--broker", part.broker, "the broker for a share of the events");
   on_clients->add_option("--mqtt", part.mqtt_share, "that share")->check(CLI::Range(0.0, 1.0));
 
@@ -275,7 +300,19 @@
   on_badday->add_flag("--json", bad_day.json, "print the tally as JSON");
   on_badday->add_flag("--servers-load", bad_day.loads_by_themselves,
                       "servers load what they lack by themselves instead of answering that they lack it");
-  on_badday->add_flag("--together", bad_day.together, "routers hold state together");
+  const auto among_routers = [](CLI::App* on, lab::BadDay& of) {
+    on->add_flag("--together", of.together, "routers hold state together");
+    on->add_option("--marks", of.marks, "of events that must not run twice: none, told, held")
+        ->check(CLI::IsMember({"none", "told", "held"}));
+    on->add_flag("--repeats", of.repeats,
+                 "clients send again, to another router, what was not answered, and some of what was");
+    on->add_flag("--quiet", of.quiet, "none of the scripted troubles");
+    on->add_option("--faults", of.faults, "among routers: links, stalls, crashes, restarts")
+        ->delimiter(',')
+        ->check(CLI::IsMember({"links", "stalls", "crashes", "restarts"}));
+  };
+  among_routers(on_badday, bad_day);
+  on_badday->add_option("--routers", bad_day.routers, "how many")->check(CLI::Range(1, 64));
   on_badday->add_flag("--calm", bad_day.calm, "longer limits and ticks, for slow machines");
   on_badday->add_option("--front", bad_day.front, "how events come: http, mqtt, both")
       ->check(CLI::IsMember({"http", "mqtt", "both"}));
@@ -295,7 +332,7 @@
   on_run->add_option("--routers", emulated.routers, "its routers")->check(CLI::Range(1, 5'000));
   on_run->add_option("--functions", emulated.functions, "its functions")->check(CLI::Range(1, 1'000'000));
   on_run->add_option("--keep", emulated.folder, "keep day and records in this folder");
-  on_run->add_flag("--together", emulated.together, "routers hold state together");
+  among_routers(on_run, emulated.among);
   on_run->add_flag("!--no-judge", emulated.judge, "only play, for speed at large size");
   on_run->add_flag("--json", emulated.json, "print the tally as JSON");
   auto* on_version = app.add_subcommand("version", "print the version");
@@ -314,6 +351,7 @@
   if (on_servers->parsed()) return servers(part);
   if (on_broker->parsed()) return broker(part);
   if (on_clients->parsed()) return clients(part);
+  if (on_links->parsed()) return links(part);
   if (on_echo->parsed()) return echo(ends);
   if (on_pump->parsed()) return pump(ends);
   if (on_mqtt_pump->parsed()) return mqtt_pump(ends);
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -1,5 +1,6 @@
 #include "emulator/emulation.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "deployment/deployment_file.h"
@@ -48,7 +49,12 @@
   std::vector<std::string> peers, replicas;
   for (const Seat& other : seats_) {
     peers.push_back(other.peers->address().toString());
-    if (day_.together) replicas.push_back(other.replica->address().toString());
+  }
+  for (std::size_t other = 0; day_.together && other < seats_.size(); ++other) {
+    const bool linked = links_ != nullptr && other != number;
+    replicas.push_back((linked ? links_->address(static_cast<int>(number), static_cast<int>(other))
+                               : seats_[other].replica->address())
+                           .toString());
   }
   const std::string text = standin::deployment_of(
       day_, static_cast<int>(number), seat.http->address().toString(), roster_.address().toString(),
@@ -75,16 +81,27 @@
 
 void Emulation::play(Time start_at) {
   roster_.play(start_at);
+  if (links_) links_->play(start_at);
   fleet_.play(start_at);
   for (const standin::Trouble& trouble : day_.troubles) {
-    if (trouble.kind != standin::TroubleKind::router_restart) continue;
+    const bool killed = trouble.kind == standin::TroubleKind::router_kill;
+    if (!killed && trouble.kind != standin::TroubleKind::router_restart) continue;
     const auto number = static_cast<std::size_t>(trouble.router);
     if (number >= seats_.size()) throw std::invalid_argument("a trouble names an unknown router");
-    network_.at(start_at + trouble.at, [this, number] { stop(number); });
+    network_.at(start_at + trouble.at, [this, number, killed] {
+      seats_[number].since = network_.clock_ns();
+      if (killed) leave(number);
+      if (!killed) stop(number);
+    });
     // Where it is not through by then, it starts as soon as it is.
-    network_.at(start_at + trouble.at + trouble.span, [this, number] {
+    network_.at(start_at + trouble.at + trouble.span, [this, number, kind = trouble.kind] {
       seats_[number].due = true;
       if (!seats_[number].router) start(number);
+      record_.line({{"what", "router"},
+                    {"router", number},
+                    {"kind", standin::name_of(kind)},
+                    {"from", seats_[number].since},
+                    {"to", network_.clock_ns()}});
     });
   }
 }
@@ -93,6 +110,11 @@
   const std::int64_t began = transport::monotonic_ns();
   fleet_.announce_to(roster_.address());
   network_.run_until(network_.now() + announcing);
+  std::vector<transport::Address> copies;
+  for (const Seat& seat : seats_) copies.push_back(seat.replica->address());
+  const bool links = std::ranges::any_of(
+      day_.troubles, [](const auto& trouble) { return trouble.kind >= standin::TroubleKind::link_drop; });
+  if (day_.together && links) links_ = std::make_unique<standin::Links>(network_, day_, copies);
   for (std::size_t i = 0; i < seats_.size(); ++i) start(i);
   std::vector<transport::Address> addresses;
   for (const Seat& seat : seats_) addresses.push_back(seat.http->address());
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -13,6 +13,7 @@
 #include "standin/clients.h"
 #include "standin/day.h"
 #include "standin/fleet.h"
+#include "standin/links.h"
 #include "standin/record.h"
 #include "standin/roster_board.h"
 
@@ -42,7 +43,8 @@
     std::unique_ptr<transport::Place> http, peers, replica;
     std::unique_ptr<router::RouterProcess> router;
     std::uint64_t lives = 0;
-    bool due = false;  // to start again once its last life has ended
+    std::int64_t since = 0;  // when its present trouble began
+    bool due = false;        // to start again once its last life has ended
   };
   void start(std::size_t number);
   void stop(std::size_t number);
@@ -55,6 +57,7 @@
   Network network_;
   standin::RosterBoard roster_;
   standin::Fleet fleet_;
+  std::unique_ptr<standin::Links> links_;  // none: routers reach one another's copies straight
   std::vector<Seat> seats_;
   std::unique_ptr<standin::Clients> clients_;
   Spent spent_;
--- a/src/lab/badday.h
+++ b/src/lab/badday.h
@@ -4,6 +4,9 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
+
+#include "standin/day.h"
 
 namespace rushhill::lab {
 
@@ -14,8 +17,16 @@
   std::string day_file{}, folder{};
   std::string front = "http";  // mqtt, both
   bool json = false, loads_by_themselves = false, calm = false, together = false;
+  int routers = 0;                    // 0: as the day says
+  std::string marks{};                // none, told, held; empty: as the day says
+  bool repeats = false;               // clients send again, to another router, what must not run twice
+  bool quiet = false;                 // none of the scripted troubles
+  std::vector<std::string> faults{};  // among routers: links, stalls, crashes, restarts
 };
 
+// The day with what is told of its routers.
+void make_among_routers(standin::Day& day, const BadDay& of);
+
 // 0: every event ended once and in time and no rule was broken; 1: not; throws where a process fails.
 int play(const BadDay& day);
 int judge(const BadDay& day);
--- a/src/lab/processes.cpp
+++ b/src/lab/processes.cpp
@@ -86,6 +86,17 @@
   if (running()) kill(id_, SIGTERM);
 }
 
+void Process::stall(bool on) {
+  if (running()) kill(id_, on ? SIGSTOP : SIGCONT);
+}
+
+void Process::crash() {
+  if (!running()) return;
+  kill(id_, SIGKILL);
+  waitpid(id_, &status_, 0);
+  ended_ = true;
+}
+
 int Process::wait(int seconds) {
   const auto end = Clock::now() + std::chrono::seconds(seconds);
   while (running() && Clock::now() < end) std::this_thread::sleep_for(std::chrono::milliseconds(5));
--- a/src/lab/processes.h
+++ b/src/lab/processes.h
@@ -37,6 +37,8 @@
   std::string ready(int seconds = 10);
   bool running();
   void ask_to_end();
+  void stall(bool on);  // SIGSTOP, SIGCONT
+  void crash();         // SIGKILL, and waits for its end
   // Its exit code; -1 where a signal ended it. Kills it after so many seconds.
   int wait(int seconds);
   pid_t id() const { return id_; }
--- a/src/standin/day.h
+++ b/src/standin/day.h
@@ -69,7 +69,16 @@
   router_restart,  // a router is stopped and started again
   burst,           // so many times the usual events
   broker_drop,     // the broker drops its clients, and at the span's end cuts a message in its midst
-  broker_twice     // the broker sends every message twice
+  broker_twice,    // the broker sends every message twice
+  router_kill,     // a router is killed and started again
+  router_stall,    // a router is stopped and goes on after the span, knowing nothing of it
+  link_drop,       // nothing passes between two routers' copies; what waits comes when the span ends
+  link_one_way,    // likewise from the first to the other only
+  link_delay,      // what passes comes so many milliseconds later
+  link_throttle,   // so many bytes a second pass
+  link_cut,        // connections are reset in the midst of what they carry
+  link_garble,     // bytes are changed
+  link_twice       // connections are made twice, both carrying the same
 };
 
 struct Trouble {
@@ -78,6 +87,7 @@
   double size = 1;
   std::vector<std::string> servers{};
   int router = 0;
+  int other = -1;  // of a link between two; -1: all the router's
 };
 
 struct RuleFigures {
@@ -100,6 +110,8 @@
   Time tick = 200;    // of the routers: how late a loop may turn
   Time roster_lag_least = 2'000, roster_lag_most = 20'000;
   bool together = false;         // routers hold state together
+  std::string marks = "none";    // of events that must not run twice, then: none, told, held
+  bool repeats = false;          // clients send such events again, to another router
   bool missing_answers = false;  // servers answer that they lack a function instead of loading it
   std::vector<MachineMake> servers{};
   StoreMake store{};
@@ -128,6 +140,12 @@
 Day scripted_bad_day(std::int64_t events, double rate, std::uint64_t seed, bool missing_answers = true,
                      bool calm = false);
 
+// What goes wrong among the routers themselves, over the length of any day.
+struct RouterFaults {
+  bool links = false, stalls = false, crashes = false, restarts = false;
+};
+void add_router_faults(Day& day, const RouterFaults& faults);
+
 // A day at any size: a mixed fleet in three locations, functions by Zipf's law, and the troubles that meet
 // many at once: slow servers, a crash of some, a burst, a slow store, a router restarted.
 Day grown_day(int servers, int routers, int functions, std::int64_t events, double rate, std::uint64_t seed);
--- a/tests/checker/judge_test.cpp
+++ b/tests/checker/judge_test.cpp
@@ -76,6 +76,49 @@
   EXPECT_TRUE(judge(day, all).good());
 }
 
+// The event's tries at several routers, and a router that was stopped meanwhile.
+TEST_F(Records, AnEventSentAgainToAnotherRouterMustNotRunThere) {
+  event("booking");
+  all[0]["tries"] = Json::array({{{"router", 0}, {"sent", 0}, {"how", "silent"}},
+                                 {{"router", 1}, {"sent", 50 * ms}, {"how", "answered"}}});
+  shot("a", 1, 50, "closed-by-router");
+  ran("a");
+  EXPECT_EQ(broken(), "");
+  all[0]["outcome"] = "shed";
+  EXPECT_EQ(broken(), "") << "the second router speaks for its own shots";
+  shot("b", 60, 90, "answered");
+  all.back()["router"] = 1;
+  ran("b");
+  EXPECT_EQ(broken(), "2");
+  EXPECT_EQ(judge(day, all).ran_twice, 1);
+}
+
+TEST_F(Records, ARouterThatWasStoppedOrKilledIsExcusedForThatTimeAlone) {
+  event("lookup", "none", 3'000);
+  EXPECT_EQ(broken(), "1");
+  all.push_back(
+      {{"what", "router"}, {"router", 0}, {"kind", "router-kill"}, {"from", 2'000 * ms}, {"to", 4'000 * ms}});
+  EXPECT_EQ(broken(), "");
+  EXPECT_EQ(judge(day, all).excused, 1);
+  all.back()["router"] = 1;
+  EXPECT_EQ(broken(), "1") << "another router";
+  all.back()["router"] = 0;
+  all.back()["from"] = 5'000 * ms, all.back()["to"] = 6'000 * ms;
+  EXPECT_EQ(broken(), "1") << "long after";
+}
+
+TEST_F(Records, WhatARouterWasToldWhileItWasStoppedCountsFromWhenItWentOn) {
+  event("lookup");
+  told(100, "a", "draining");
+  shot("a", 5'000, 5'050, "answered");
+  EXPECT_EQ(broken(), "13");
+  all.push_back(
+      {{"what", "router"}, {"router", 0}, {"kind", "router-stall"}, {"from", 50 * ms}, {"to", 4'000 * ms}});
+  EXPECT_EQ(broken(), "");
+  all.back()["to"] = 2'500 * ms;
+  EXPECT_EQ(broken().find('3') != std::string::npos, true) << "the grace after that is over, too";
+}
+
 TEST_F(Records, AnEventWithoutAnAnswerOrWithTwoBreaksRuleOne) {
   EXPECT_EQ(broken(), "1");  // one was sent, none ended
   event("lookup", "none");
