lab lag: how long a router's word takes to all others, by size and loss, in virtual time

Need: the lag of a change was known only as one bound from a test. Change: the emulated network loses a share of what is sent, sent again late and in order as TCP does; lab lag writes words at routers drawn from the seed and follows each to all.

--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -17,6 +17,7 @@
 #include "lab/badday.h"
 #include "lab/bench.h"
 #include "lab/emulate.h"
+#include "lab/lag.h"
 #include "lab/mqtt_pump.h"
 #include "lab/pump.h"
 #include "standin/broker.h"
@@ -335,6 +336,13 @@
   among_routers(on_run, emulated.among);
   on_run->add_flag("!--no-judge", emulated.judge, "only play, for speed at large size");
   on_run->add_flag("--json", emulated.json, "print the tally as JSON");
+  lab::LagOf lag_of;
+  auto* on_lag = on_lab->add_subcommand("lag", "how long a router's word takes to all others");
+  on_lag->add_option("--routers", lag_of.routers, "how many")->check(CLI::Range(2, 5'000));
+  on_lag->add_option("--words", lag_of.words, "words to follow")->check(CLI::Range(1, 10'000));
+  on_lag->add_option("--loss", lag_of.loss, "share of what is sent that is lost")
+      ->check(CLI::Range(0.0, 0.9));
+  on_lag->add_option("--seed", lag_of.seed, "of everything drawn");
   auto* on_version = app.add_subcommand("version", "print the version");
 
   try {
@@ -359,6 +367,7 @@
   if (on_send->parsed()) return send(sending);
   if (on_badday->parsed()) return lab::play(bad_day);
   if (on_run->parsed()) return lab::emulate(emulated);
+  if (on_lag->parsed()) return lab::lag(lag_of);
   if (on_judge->parsed()) return lab::judge(bad_day);
   return 0;
 }
--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -14,8 +14,22 @@
 
 constexpr std::size_t most_unread = 256 * 1024;  // bytes a peer may leave unread before a writer waits
 
+constexpr int most_doublings = 6;  // of the pause before what was lost is sent again
+
 }  // namespace
 
+// When what is sent now comes, no sooner than what was sent before it.
+Time Network::on_its_way(Time not_before) {
+  Time moment = now_ + latency_;
+  Time pause = again_;
+  for (int i = 0; loss_ > 0 && i < most_doublings; ++i) {
+    if (std::uniform_real_distribution<double>(0, 1)(chance_) >= loss_) break;
+    moment += pause;
+    pause *= 2;
+  }
+  return std::max(moment, not_before);
+}
+
 // One end of a connection. What is under way to a closed end is lost, and its sender sees a reset.
 class Network::End final : public transport::Stream, public std::enable_shared_from_this<End> {
  public:
@@ -72,7 +86,8 @@
  private:
   template <typename Call>
   void to_peer(Call call) {
-    network_.at(network_.now() + network_.latency_, [peer = peer_, call = std::move(call)] {
+    last_comes_ = network_.on_its_way(last_comes_);
+    network_.at(last_comes_, [peer = peer_, call = std::move(call)] {
       if (const auto end = peer.lock()) call(*end);
     });
   }
@@ -133,6 +148,7 @@
   std::weak_ptr<End> peer_;
   std::string out_, unread_;
   std::size_t handed_over_ = 0, under_way_ = 0;
+  Time last_comes_ = 0;  // of what was sent, to the other end
   bool established_ = false, reading_ = false, finishing_ = false, ended_ = false;
   Loss how_ = Loss::ended;
 };
--- a/src/emulator/network.h
+++ b/src/emulator/network.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <vector>
 
 #include "core/alarms.h"
@@ -16,6 +17,13 @@
  public:
   // `latency`: from one end of a connection to the other, tenths of a millisecond.
   explicit Network(Time latency) : latency_(latency) {}
+  // From now on that share of what is sent on connections is lost and sent again after so long, doubling, as
+  // TCP does: it comes late, and so does all that is behind it.
+  void lose(double share, Time again, std::uint64_t seed) {
+    loss_ = share;
+    again_ = again;
+    chance_.seed(seed);
+  }
   ~Network() override;
 
   void run() override;          // until halt(), or nothing is left to happen
@@ -53,6 +61,7 @@
 
   transport::Address free(const transport::Address& address);
   void turn(Time until);
+  Time on_its_way(Time not_before);
 
   Time latency_, now_ = first_moment;
   core::Alarms alarms_;
@@ -63,6 +72,9 @@
   std::uint16_t next_port_ = 1024;
   std::int64_t happenings_ = 0;
   bool halted_ = false;
+  double loss_ = 0;
+  Time again_ = 0;
+  std::mt19937_64 chance_;
 };
 
 }  // namespace rushhill::emulator
