A mark that already waits is not waited for twice: a router with a forgetful copy span in pass()

The stack, twice, in Marks::pass erasing an iterator that names nothing. Cause: marks.cpp take() put a second entry into by_ where the number already waited; only a copy that forgets its own mark (the tests' build) gives the same number again, a sound one answers `known` before. Ruled out: the stop and start of that router (its log goes on after), a signal left pending. Now such a taking is `known`.

--- a/src/replica/marks.cpp
+++ b/src/replica/marks.cpp
@@ -29,7 +29,8 @@
   const std::uint64_t number = copy_.take_event(now, mark);
   if (number == 0) return Taking::full;
   if (level == MarkLevel::told || others_ <= 0) return Taking::go;
-  waiting_.emplace(number, Waiting{event, by});
+  // A copy that forgets (the tests' build has one) may take the same again under the same number.
+  if (!waiting_.emplace(number, Waiting{event, by}).second) return Taking::known;
   by_.emplace(by, number);
   return Taking::wait;
 }
