The checker excuses no router that was only asked to end

Cause: judge.cpp took the lab's record of an orderly restart for an absence; only a kill or a stop is one.

--- a/src/checker/judge.cpp
+++ b/src/checker/judge.cpp
@@ -171,7 +171,8 @@
       const std::string kind = record.at("kind").get<std::string>();
       const int router = record.at("router").get<int>();
       const std::pair span{record.at("from").get<Ns>(), record.at("to").get<Ns>()};
-      away_[router].push_back(span);
+      // One that is asked to end still owes everybody an answer.
+      if (kind != "router-restart") away_[router].push_back(span);
       if (kind == "router-stall") stalls_[router].push_back(span);
       verdict_.router_kills += kind == "router-kill" ? 1 : 0;
       verdict_.router_stalls += kind == "router-stall" ? 1 : 0;
--- a/tests/checker/judge_test.cpp
+++ b/tests/checker/judge_test.cpp
@@ -100,6 +100,9 @@
       {{"what", "router"}, {"router", 0}, {"kind", "router-kill"}, {"from", 2'000 * ms}, {"to", 4'000 * ms}});
   EXPECT_EQ(broken(), "");
   EXPECT_EQ(judge(day, all).excused, 1);
+  all.back()["kind"] = "router-restart";
+  EXPECT_EQ(broken(), "1") << "asked to end, it still owes an answer";
+  all.back()["kind"] = "router-kill";
   all.back()["router"] = 1;
   EXPECT_EQ(broken(), "1") << "another router";
   all.back()["router"] = 0;
