A numbered event goes on with its own number: X-Unique is read and sent as replay

A line an event in the front showed HTTP_X_UNIQUE=... with numbered types alone; real.json names the two fields (idem: X-Unique from clients, replay to servers). The known site has reissuable types only, so nobody had met it. At fault: fronts/fastcgi_front.cpp read_request, which dropped the field, and lines::invoke, which had no place for it. Ruled out: the class's name with dot and underscore, the absent tenant, the larger X-Allow-Ms.

Mend: the number goes on unchanged at every shot; a numbered event without one, or with one that is no word of a line, is answered with 400. Story: ANumberedEventGoesOnWithItsNumber..., which cannot compile away: on the version before the shot carries no replay and a request without a number is taken.

--- a/src/carrying/line_pool.cpp
+++ b/src/carrying/line_pool.cpp
@@ -338,13 +338,13 @@
 }
 
 void LinePool::shoot(const core::ShotCall& call) {
-  const std::string* function = call.message.other("function");
+  const std::string *function = call.message.other("function"), *number = call.message.other("number");
   start(call.server,
         {.event = call.event,
          .leg = call.leg,
          .tag = call.message.id,
          .bytes = lines::invoke(call.message.id, call.message.type, function == nullptr ? "" : *function,
-                                call.left, call.message.data)});
+                                call.left, number == nullptr ? "" : *number, call.message.data)});
 }
 
 void LinePool::drop(EventId event, int leg) {
--- a/src/fronts/fastcgi_front.cpp
+++ b/src/fronts/fastcgi_front.cpp
@@ -24,9 +24,10 @@
 constexpr Time way_back = 10;          // from our answer to the client's reading it, taken off its time
 constexpr Time rounding = 10;          // a limit told in whole milliseconds may be that much above ours
 constexpr std::size_t id_digits = 16;
-constexpr double most_memory_mb = 1e6;    // of a copy; above any machine's
-constexpr double most_lanes = 1024;       // of a copy
-constexpr double most_load_ms = 600'000;  // above any order's limit
+constexpr std::size_t longest_number = 128;  // bytes; an event's own number goes on within a line
+constexpr double most_memory_mb = 1e6;       // of a copy; above any machine's
+constexpr double most_lanes = 1024;          // of a copy
+constexpr double most_load_ms = 600'000;     // above any order's limit
 constexpr std::string_view events_path = "/ops/";
 constexpr std::string_view health_path = "/alive";
 
@@ -35,6 +36,12 @@
          std::ranges::all_of(text, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
 }
 
+// What goes on unchanged as one word of a line.
+bool is_word(std::string_view text) {
+  return !text.empty() && text.size() <= longest_number &&
+         std::ranges::all_of(text, [](char c) { return c > ' ' && c < '\x7f' && c != ',' && c != '='; });
+}
+
 template <typename Number>
 std::optional<Number> number_of(std::string_view text) {
   Number value{};
@@ -85,7 +92,7 @@
     return std::move(asked);
   };
   for (const char* name : {"SCRIPT_NAME", "HTTP_X_JOB_ID", "HTTP_X_ALLOW_MS", "HTTP_X_TEAM", "HTTP_X_ITEM",
-                           "HTTP_X_FACTS", "CONTENT_LENGTH"}) {
+                           "HTTP_X_UNIQUE", "HTTP_X_FACTS", "CONTENT_LENGTH"}) {
     if (request.repeats(name)) return no(400, std::string(name) + " is there twice");
   }
   const std::string* path = request.param("SCRIPT_NAME");
@@ -107,6 +114,10 @@
   const bool named = team != nullptr && std::ranges::find(deployment.customers, *team, &Customer::name) !=
                                             deployment.customers.end();
   if (!named && !deployment.customers.empty()) return no(400, "X-Team is not a tenant");
+  // Sent to any server twice, an event of a numbered type runs once there, by this.
+  const std::string* number = request.param("HTTP_X_UNIQUE");
+  if (number == nullptr && known->effect == Effect::numbered) return no(400, "X-Unique is missing");
+  if (number != nullptr && !is_word(*number)) return no(400, "X-Unique is no word of 128 bytes at most");
   const std::string* facts = request.param("HTTP_X_FACTS");
   if (facts != nullptr && !read_facts(*facts, asked.told)) return no(400, "X-Facts holds what is no figure");
   const std::string* length = request.param("CONTENT_LENGTH");
@@ -121,6 +132,7 @@
   asked.message.id = *id;
   asked.message.type = type;
   asked.message.others["function"] = *item;
+  if (number != nullptr) asked.message.others["number"] = *number;
   asked.message.data = std::move(request.body);
   return asked;
 }
--- a/src/lines/answers.cpp
+++ b/src/lines/answers.cpp
@@ -136,10 +136,11 @@
 }
 
 std::string invoke(std::string_view id, std::string_view type, std::string_view function, Time left,
-                   std::string_view body) {
+                   std::string_view number, std::string_view body) {
   std::string out = "invoke ";
   out.append(id).append(" profile=").append(type).append(",thing=").append(function).append(",max=");
   out += std::to_string(std::max<Time>(left / 10, 1));
+  if (!number.empty()) out.append(",replay=").append(number);
   out.append(" ").append(std::to_string(body.size())).append("\r\n").append(body).append("\r\n");
   return out;
 }
--- a/src/lines/answers.h
+++ b/src/lines/answers.h
@@ -52,8 +52,9 @@
   bool bad_ = false;
 };
 
+// `number`: an event's own, by which a server runs it once; empty where it has none.
 std::string invoke(std::string_view id, std::string_view type, std::string_view function, Time left,
-                   std::string_view body);
+                   std::string_view number, std::string_view body);
 std::string abort(std::string_view id);
 std::string gauges(std::string_view tag);
 std::string alive(std::string_view tag);
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 const std::string settings = R"({"me":0,"balancers":1,"zone":"old","quantum":4000000,
-  "services":[{"name":"date-lookup","promise":750000000,"deadline":2500000000,"effect":"free","worth":1.0}],
+  "services":[{"name":"date-lookup","promise":750000000,"deadline":2500000000,"effect":"free","worth":1.0},
+    {"name":"seat.hold","promise":750000000,"deadline":2500000000,"effect":"guarded","group":"all","memory-span":5000000000}],
   "tenants":[{"name":"acme","quota-per-s":0,"share":1.0}],
   "obligations":{"drain-grace":2000000000,"fall":1500000000,"fall-multiple":2.0,"cold":16000000000,"cold-share":0.16},
   "permissions":{"cancel":true,"send-cap":5,"open-cap":20000,"retry-after":true,"max-retry-after":500000000,
@@ -135,6 +136,37 @@
   EXPECT_EQ(router.gateway().tally().taken, 0U);
 }
 
+// A numbered event's own number goes on to every server that it is sent to: by it the event runs once there.
+TEST_F(NodeStory, ANumberedEventGoesOnWithItsNumberAtEveryShotAndIsNotTakenWithoutOne) {
+  const auto numbered = [](const char* number) {
+    fastcgi::Request request = ask();
+    request.params[0].second = "/ops/seat.hold";
+    if (number != nullptr) request.params.emplace_back("HTTP_X_UNIQUE", number);
+    return request;
+  };
+  server.on_bytes = [](RawPeer& peer) {
+    if (peer.seen.ends_with("b\r\n\xff\r\n")) peer.stream->write("9b1f03aa5c7e2d41 SHED - 0\r\n\r\n");
+  };
+  const auto front = client();
+  front->stream->write(fastcgi::write_request(7, numbered("26a4287fdb59d37c05b5da70ad251bf7")));
+  ASSERT_TRUE(pump.until([&] { return server.peers.size() >= 2; }));
+  for (const auto& peer : server.peers) {
+    ASSERT_TRUE(pump.until([&] { return peer->seen.ends_with("b\r\n\xff\r\n"); }));
+    EXPECT_NE(peer->seen.find(",replay=26a4287fdb59d37c05b5da70ad251bf7 4\r\n"), std::string::npos)
+        << peer->seen;
+  }
+  ASSERT_TRUE(pump.until([&] { return router.gateway().open() == 0; }));
+  const auto taken = router.gateway().tally().taken;
+  for (const char* number :
+       {static_cast<const char*>(nullptr), "", "two words", "a,b", "a=b", "line\r\nabort x"}) {
+    front->seen.clear();
+    front->stream->write(fastcgi::write_request(9, numbered(number)));
+    ASSERT_TRUE(seen(*front, fastcgi::end_request(9, fastcgi::Ended::complete, 0)));
+    EXPECT_NE(front->seen.find("X-Unique"), std::string::npos);
+  }
+  EXPECT_EQ(router.gateway().tally().taken, taken);
+}
+
 TEST_F(NodeStory, AConnectionThatShowsItselfBrokenIsClosedAndWhatItHadOpenIsGivenUp) {
   const auto front = client();
   front->stream->write(fastcgi::write_request(1, ask()));
