--- a/src/carrying/line_pool.cpp
+++ b/src/carrying/line_pool.cpp
@@ -101,8 +101,8 @@
     retire();
   }
 
-  // Where none of the exchange has left, nothing of it ever does. A connection on its way up stays: another
-  // may need it. One that is up and takes nothing does not.
+  // Where none of the exchange has left, nothing of it ever does. The connection takes no further one: it is
+  // on its way up for long, or is up and takes nothing.
   std::optional<Exchange> recall(const std::string& tag) {
     const auto it = open_.find(tag);
     const std::size_t from = it->second.from, count = it->second.bytes.size();
@@ -112,7 +112,7 @@
       if (exchange.from > from) exchange.from -= count;
     }
     Exchange exchange = take(tag);
-    if (established_ || retired_) retire();
+    retire();
     return exchange;
   }
   std::string tag_of(EventId event, int leg) const {
