Cold servers: the sum of all routers' parts stays under the rule in overload too

At half load a cold server got 0.4 of what the rule permits it; at 1.3 times what the fleet bears 1.14 times of it, at 2.0 times 1.31 times: a break. At fault, each measured by taking it out alone:

- Decider::weigh_use blended every server's reported use of cores into the usual one, cold servers' too, which idle behind the rule; cold_room divides by it.
- The thinning of parts under one event took a server's even part of the flow for all that it could draw.
Where the few warm ones are full, all that the hash lets through goes to the cold.
- Every send weighs as the mean work of its type on a cold server; types were counted alike.
A heavier type than the usual now gets a smaller part.
No test of its own.

The stories fail on the module before with 1.31, 1.14 and 0.95 against 0.85. All figures from simulated servers.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,6 +46,7 @@
 constexpr double move_burst = 5;      // of these at once
 constexpr double home_excess = 2.2;   // times an even share; what hashes and a burst may bring to one home
 constexpr double cold_part = 0.9;     // share of the rule's budget; leaves room for chance and skew
+constexpr double cold_drawn = 0.5;    // of all events; as many a cold server draws where the rest is full
 constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
 constexpr int refusals_of_shut = 3;   // turned away in a row; a full server still honours some between
 constexpr int cuts_of_death = 3;      // connections lost in a row; a process that dies loses all it has
@@ -238,7 +239,7 @@
     function.lanes = std::max(told.lanes, 1.0);
     function.asked = now;
     function.heat.at(now) += 1;
-    heat_.at(now) += 1;
+    heat_.at(now) += 1, asked_.at(now) += 1;
     if (told.load_time > 0) function.load = static_cast<double>(told.load_time);
     pending.over_share = beyond_share(now, told.customer);
     if (told.left <= d_.tick) return give_up(pending, 0);
@@ -293,10 +294,10 @@
     const auto it = servers_.find(end.server);
     if (it == servers_.end()) return;
     note_contact(now, it->second, end.ending, end.taken);
-    const auto busy = end.report.find("util");
-    if (busy == end.report.end()) return;
-    weigh_use(it->second, busy->second);
-    if (d_.peers) host_.tell(-1, end.server + " u" + std::to_string(std::lround(100 * busy->second)));
+    if (!end.report.contains("util")) return;
+    const double busy = end.report.at("util");
+    weigh_use(now, it->second, busy);
+    if (d_.peers) host_.tell(-1, end.server + " u" + std::to_string(std::lround(100 * busy)));
   }
   // A peer saw a server die, lost a connection to it, or saw how busy it is.
   void told(Time now, int, const std::string& bytes) override {
@@ -304,7 +305,7 @@
     const auto it = servers_.find(bytes.substr(0, gap));
     if (it == servers_.end()) return;
     if (gap + 2 < bytes.size() && gap != std::string::npos)
-      return weigh_use(it->second, std::atof(bytes.c_str() + gap + 2) / 100);
+      return weigh_use(now, it->second, std::atof(bytes.c_str() + gap + 2) / 100);
     if (gap != std::string::npos && !cut(now, it->second)) return;
     it->second.noted = now;
     seems_dead(now, it->second);
@@ -348,7 +349,7 @@
 
   // Rule 4. Whether a cold server can bear one more event from this router. Its capacity is guessed low, from
   // an even share of this router's own honoured events: every router doing so, all together stay under the
-  // rule. A part under one event is kept by thinning what the server would get if it were warm.
+  // rule, heavy types by their weight. A part under one event is kept by thinning what the server may get.
   bool cold_room(Time now, const Server& server, const Pending& pending) const {
     const Time since = cold_since(now, server);
     if (since == 0) return true;
@@ -357,13 +358,14 @@
     const double least = 1.0 / (std::max(1, d_.routers) * pending.type->usual);
     const double idle = busy_usual_ > 0 ? std::clamp(1 / busy_usual_, 1.0, 2.0) : 1;
     const double borne = std::max(borne_ * idle * weight(server), least);
-    const double part = d_.fall_multiple * share * borne * static_cast<double>(d_.fall_span) * cold_part;
+    const double heavy = usual_ > 0 ? std::max(1.0, pending.type->usual / usual_) : 1;
+    const double budget = d_.fall_multiple * share * borne * static_cast<double>(d_.fall_span);
+    const double part = cold_part * budget / heavy;
     const double sent = server.sent.over(now);
     if (part >= 1) return sent + 1 <= std::floor(part);
-    const double natural = home_excess * std::max(flow_ * ability(server), borne);
-    return sent < 1 && even(std::to_string(pending.told.id), server.told.id) * natural *
-                               static_cast<double>(d_.fall_span) <
-                           part;
+    const double even_part = std::max(flow_ * ability(server), borne) * static_cast<double>(d_.fall_span);
+    const double natural = std::max(home_excess * even_part, cold_drawn * asked_.over(now));
+    return sent < 1 && even(std::to_string(pending.told.id), server.told.id) * natural < part;
   }
 
   Time cold_since(Time now, const Server& server) const {
@@ -655,7 +657,7 @@
       entry.confirmed = false;
     }
     note_contact(now, server, end.ending, end.taken);
-    if (const auto use = end.report.find("util"); use != end.report.end()) weigh_use(server, use->second);
+    if (end.report.contains("util")) weigh_use(now, server, end.report.at("util"));
     const bool stood = d_.tells_warm ? end.warmth == Warmth::found : end.ending == Ending::honoured;
     if (stood || (end.ending == Ending::turned_away && shot.confirmed)) {
       const bool bad = end.ending == Ending::turned_away || 4 * end.taken > 3 * pending.type->told.due;
@@ -672,8 +674,9 @@
     server.ease *= std::exp(-step * std::clamp(excess, -1.0, 1.0));
     server.ease = std::clamp(server.ease, 1 / most_ease, most_ease);
   }
-  void weigh_use(Server& server, double busy) {
-    blend(busy_usual_, busy);
+  // What a cold server makes of its cores says nothing of what a warm one bears.
+  void weigh_use(Time now, Server& server, double busy) {
+    if (cold_since(now, server) == 0) blend(busy_usual_, busy);
     if (busy_usual_ > 0) weigh(server, busy / busy_usual_ - 1);
   }
 
@@ -711,7 +714,7 @@
     const bool found = d_.tells_warm ? end.warmth == Warmth::found : shot.confirmed;
     if (!found && d_.tells_warm && end.warmth != Warmth::began_load) return;
     if (!found) return blend(load_usual_, std::max(taken - usual_time(pending, function), 0.0));
-    blend(pending.type->usual, taken);
+    blend(pending.type->usual, taken), blend(usual_, taken);
     if (function.usual == 0) function.usual = pending.type->usual / fleet_pace_;
     blend(function.usual, taken / fleet_pace_);
     server.past.at(now).paced += 1;
@@ -880,10 +883,11 @@
   std::map<EventId, Pending> events_;
   std::map<std::string, Account> accounts_;
   std::set<EventId> waiting_;
-  SpanRing orders_, events_taken_;  // for the ration of orders
+  SpanRing orders_, events_taken_;           // for the ration of orders
+  SpanRing asked_{span_part(d_.fall_span)};  // events taken, for the rule on cold servers
   std::size_t pending_orders_ = 0;
-  Counts heat_{second}, shots_{second};     // events taken, shots sent
-  double load_usual_ = 0, busy_usual_ = 0;  // time of a load; reported use of cores
+  Counts heat_{second}, shots_{second};                 // events taken, shots sent
+  double usual_ = 0, load_usual_ = 0, busy_usual_ = 0;  // time of an answer, of a load; use of cores
   double fleet_pace_ = 1, median_bad_ = 0;
   double borne_ = 0, flow_ = 0;     // honoured at, sent to a warm server, per weight and time
   double serving_ = 0, aside_ = 0;  // servers that may receive; of these, set aside
--- a/tests/cold_fleet_test.cpp
+++ b/tests/cold_fleet_test.cpp
@@ -1,6 +1,6 @@
-// Rule 4 as the sum over a fleet: three hundred instances of the module, told of the same servers at different
-// moments, with load spread unevenly, while most of the fleet is replaced. Counted at the servers: what a cold
-// one gets within the rule's span, against what the rule permits it then.
+// Rule 4 as the sum over a fleet: three hundred instances of the module, told of the same servers at
+// different moments, with load spread unevenly, while most of the fleet is replaced. Counted at the servers:
+// what a cold one gets within the rule's span, against what the rule permits it then.
 #include <cmath>
 #include <deque>
 #include <functional>
@@ -15,13 +15,13 @@
 
 struct Play {
   int routers = 300, servers = 40;
-  double load = 0.5;          // of what the warm fleet bears
-  double later_load = 0.5;    // from the release on
-  double replaced = 0.6;      // of the servers, within `over`
-  Time over = 7 * second, release = 12 * second, end = 24 * second;
+  double load = 0.5;        // of what the warm fleet bears
+  double later_load = 0.5;  // from the release on
+  double replaced = 0.8;    // of the servers, within `over`
+  Time over = 4 * second, release = 12 * second, end = 20 * second;
   double cold_share = 0.16;
   Time cold_span = 10 * second;
-  double cores = 3;           // events' work a second that a server does: two cores, half as fast again
+  double cores = 3;  // events' work a second that a server does: two cores, half as fast again
   Time work = second / 10;
   std::uint32_t seed = 1;
 };
@@ -31,7 +31,8 @@
   explicit Fleet(const Play& play) : play_(play), chance_(play.seed) {
     deployment_.routers = play.routers;
     deployment_.tick = 40;
-    deployment_.traffic_types.push_back({.name = "lookup", .due = 3 * second / 4, .hard_limit = 5 * second / 2});
+    deployment_.traffic_types.push_back(
+        {.name = "lookup", .due = 3 * second / 4, .hard_limit = 5 * second / 2});
     deployment_.fall_multiple = 2;
     deployment_.fall_span = 3 * second / 2;
     deployment_.cold_share = play.cold_share;
@@ -50,7 +51,8 @@
       instances_.push_back(std::make_unique<Instance>(*this, i));
       Instance& instance = *instances_.back();
       deployment_.me = i;
-      instance.router = make_router(deployment_, play.seed * 1'000U + static_cast<std::uint32_t>(i), instance);
+      instance.router =
+          make_router(deployment_, play.seed * 1'000U + static_cast<std::uint32_t>(i), instance);
       instance.router->roster(now_, RosterForm::complete, all);
     }
     double sum = 0;
@@ -60,19 +62,19 @@
     plan_release();
   }
 
-  // The most that a cold server got within the span, as a part of what the rule permits it.
-  double run() {
+  void run() {
     while (!queue_.empty() && now_ < start_ + play_.end) {
       const auto next = queue_.top();
       queue_.pop();
       now_ = std::max(now_, next.at);
       (*next.call)();
     }
-    return worst_;
   }
-  double worst_ = 0, worst_count_ = 0, worst_n_ = 0;
-  Time worst_age_ = 0;
-  int honoured_ = 0, taken_ = 0;
+  // The most that a cold server got within the span, as a part of what the rule permits it.
+  double worst() const { return worst_; }
+  const std::string& worst_told() const { return worst_told_; }
+  int honoured() const { return honoured_; }
+  int taken() const { return taken_; }
 
  private:
   struct Task {
@@ -85,11 +87,11 @@
   };
   struct Machine {
     ModelServer told;
-    std::vector<Time> free;       // when each worker is
-    std::deque<Time> ends;        // of what it has in hand
-    std::deque<Time> got;         // within the rule's span
+    std::vector<Time> free;             // when each worker is
+    std::deque<Time> ends;              // of what it has in hand
+    std::deque<Time> got;               // within the rule's span
     std::map<FunctionId, Time> copies;  // stands from then on
-    double busy = 0;              // work done lately
+    double busy = 0;                    // work done lately
     Time busy_at = 0;
   };
   struct Instance final : Host {
@@ -99,7 +101,9 @@
       open.insert({event, leg});
       fleet.at(fleet.now_ + 5, [this, event, leg, server] { fleet.arrive(*this, event, leg, server); });
     }
-    void call_off(EventId event, int leg) override { finish(event, leg, {}, Ending::called_off, Warmth::untold, fleet.now_); }
+    void call_off(EventId event, int leg) override {
+      finish(event, leg, {}, Ending::called_off, Warmth::untold, fleet.now_);
+    }
     void shed(EventId event, Time) override { legs.erase(event); }
     void abandon(EventId event) override { legs.erase(event); }
     void wake(std::int64_t token, Time when) override {
@@ -107,7 +111,8 @@
     }
     void probe(const ServerId& server) override {
       fleet.at(fleet.now_ + 10, [this, server] {
-        router->probe_ended(fleet.now_, {.server = server, .taken = 10, .report = {{"util", fleet.use(server)}}});
+        router->probe_ended(fleet.now_,
+                            {.server = server, .taken = 10, .report = {{"util", fleet.use(server)}}});
       });
     }
     void close_idle(const ServerId&) override {}
@@ -128,8 +133,12 @@
       fleet.at(fleet.now_, [this, event, leg, server, ending, warmth, sent] {
         if (open.erase({event, leg}) == 0) return;
         fleet.honoured_ += ending == Ending::honoured ? 1 : 0;
-        router->shot_ended(fleet.now_, {.event = event, .leg = leg, .server = server, .ending = ending,
-                                        .final = ending == Ending::honoured, .taken = fleet.now_ - sent,
+        router->shot_ended(fleet.now_, {.event = event,
+                                        .leg = leg,
+                                        .server = server,
+                                        .ending = ending,
+                                        .final = ending == Ending::honoured,
+                                        .taken = fleet.now_ - sent,
                                         .warmth = warmth});
       });
     }
@@ -183,16 +192,20 @@
       const double u = std::uniform_real_distribution<double>(0, 1)(chance_);
       const int function = static_cast<int>(std::pow(1 - u, -1 / 0.35));  // few are hot, many are rare
       ++taken_;
-      instance.router->event(now_, {.id = ++instance.last, .traffic_type = "lookup",
+      instance.router->event(now_, {.id = ++instance.last,
+                                    .traffic_type = "lookup",
                                     .function = "f" + std::to_string(std::min(function, 400)),
-                                    .left = 5 * second / 2, .load_time = second / 2});
+                                    .left = 5 * second / 2,
+                                    .load_time = second / 2});
       next_event(router);
     });
   }
   double share(const Machine& machine) const {
     if (machine.told.started == 0) return 1;
-    const double age = std::max(0.0, static_cast<double>(now_ - machine.told.started - deployment_.fall_span));
-    return std::min(1.0, play_.cold_share + (1 - play_.cold_share) * age / static_cast<double>(play_.cold_span));
+    const double age =
+        std::max(0.0, static_cast<double>(now_ - machine.told.started - deployment_.fall_span));
+    return std::min(1.0,
+                    play_.cold_share + (1 - play_.cold_share) * age / static_cast<double>(play_.cold_span));
   }
   void arrive(Instance& from, EventId event, int leg, const ServerId& id) {
     if (!from.open.contains({event, leg})) return;
@@ -212,11 +225,14 @@
     const Time done = *worker;
     machine.ends.insert(std::ranges::upper_bound(machine.ends, done), done);
     const Warmth warmth = fresh ? Warmth::began_load : Warmth::found;
-    at(done, [&from, event, leg, id, warmth, sent] { from.finish(event, leg, id, Ending::honoured, warmth, sent); });
+    at(done, [&from, event, leg, id, warmth, sent] {
+      from.finish(event, leg, id, Ending::honoured, warmth, sent);
+    });
   }
   // Work of the last second or so, of what the cores can do warm.
   void note_use(Machine& machine, double work) const {
-    machine.busy = machine.busy * std::exp(-static_cast<double>(now_ - machine.busy_at) / second) + work / second;
+    machine.busy =
+        machine.busy * std::exp(-static_cast<double>(now_ - machine.busy_at) / second) + work / second;
     machine.busy_at = now_;
   }
   double use(const ServerId& id) {
@@ -225,17 +241,24 @@
     return std::min(1.0, machine.busy);
   }
   void count(Machine& machine) {
-    while (!machine.got.empty() && machine.got.front() <= now_ - deployment_.fall_span) machine.got.pop_front();
+    while (!machine.got.empty() && machine.got.front() <= now_ - deployment_.fall_span)
+      machine.got.pop_front();
     machine.got.push_back(now_);
     const Time age = now_ - machine.told.started;
     if (machine.told.started == 0 || age >= play_.cold_span) return;
     const double n = deployment_.fall_multiple * share(machine) * play_.cores *
                      static_cast<double>(deployment_.fall_span) / static_cast<double>(play_.work);
     const double part = static_cast<double>(machine.got.size()) / (n + 3 * std::sqrt(n) + 3);
-    if (part > worst_) worst_ = part, worst_count_ = static_cast<double>(machine.got.size()), worst_n_ = n, worst_age_ = age;
+    if (part <= worst_) return;
+    worst_ = part;
+    worst_told_ = std::to_string(machine.got.size()) + " where " + std::to_string(n) + " were allowed, " +
+                  std::to_string(age / second) + " s after its start";
   }
 
   Play play_;
+  double worst_ = 0;
+  std::string worst_told_;
+  int honoured_ = 0, taken_ = 0;
   std::mt19937_64 chance_;
   Deployment deployment_;
   const Time start_ = 100 * second;
@@ -247,17 +270,33 @@
   std::vector<std::unique_ptr<Instance>> instances_;
 };
 
-TEST(ColdFleet, Probe) {
-  for (const auto& [load, later] : {std::pair(0.5, 0.5), std::pair(0.8, 0.8), std::pair(0.9, 0.4), std::pair(0.3, 0.3), std::pair(0.4, 0.8)}) {
-    for (std::uint32_t seed = 1; seed <= 2; ++seed) {
-      Fleet fleet({.load = load, .later_load = later, .seed = seed});
-      fleet.run();
-      std::printf("load %.1f %.1f seed %u: worst %.2f (%g of n %.1f at age %.1f s) honoured %d of %d\n", load, later, seed,
-                  fleet.worst_, fleet.worst_count_, fleet.worst_n_, static_cast<double>(fleet.worst_age_) / second,
-                  fleet.honoured_, fleet.taken_);
-    }
+// Before, at twice what the fleet bears, a cold server got 1.31 times what the rule permits it, and 1.14
+// times in the second play: cold servers that idle behind the rule halved the use of cores that all believed
+// usual, and doubled with it what each thought it might send; and where the few warm ones were full, all that
+// the thinning let through went to the cold.
+TEST(ColdFleet, OverloadedWithMostOfItReplacedNoColdServerGetsWhatTheRuleForbids) {
+  for (const auto& [load, seed] : {std::pair(2.0, 1U), std::pair(1.3, 2U)}) {
+    Fleet fleet({.load = load, .later_load = load, .seed = seed});
+    fleet.run();
+    EXPECT_LT(fleet.worst(), 0.85) << fleet.worst_told();
+    EXPECT_GT(fleet.honoured(), fleet.taken() / 4);
   }
 }
 
+// Load that grows fivefold as the release begins: what a router saw of late says little of what comes.
+TEST(ColdFleet, ABurstThatComesWithTheReleaseIsBorneToo) {
+  Fleet fleet({.load = 0.3, .later_load = 1.5, .seed = 2});
+  fleet.run();
+  EXPECT_LT(fleet.worst(), 0.85) << fleet.worst_told();
+}
+
+// The bound is no wall: at half its load the fleet loses next to nothing by the release.
+TEST(ColdFleet, AtHalfItsLoadNearlyAllIsHonouredThroughTheRelease) {
+  Fleet fleet({.load = 0.5, .later_load = 0.5, .replaced = 0.6, .over = 7 * second});
+  fleet.run();
+  EXPECT_LT(fleet.worst(), 0.6) << fleet.worst_told();
+  EXPECT_GT(fleet.honoured(), fleet.taken() * 95 / 100);
+}
+
 }  // namespace
 }  // namespace rushhill
