Stories of the router as a process: told to end twice, stopped while a client goes, killed

Three orders that the review asks about, played on `rushhill node` as a process of its own: SIGTERM, SIGHUP and SIGTERM again with an event out and a request still to come; SIGSTOP while one client asks and goes and another asks and takes back, then SIGCONT; SIGKILL with an at-most-once event out, then a second life.

--- a/tests/node/owed_test.cpp
+++ b/tests/node/owed_test.cpp
@@ -1,6 +1,7 @@
 // The instant in which something is still owed: a client that leaves while its event waits, a list that says
 // `leaving` of a server that a shot is on its way to, a router told to end with requests at its door. The
 // partners make the bad order every time: what is to coincide stands in the kernel before the loop turns.
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -8,6 +9,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <thread>
@@ -362,5 +364,132 @@
   EXPECT_TRUE(end_seen_before) << "closed by us while its client could still write";
 }
 
+// `rushhill node` as a process of its own.
+class Process {
+ public:
+  explicit Process(const std::string& told)
+      : path_(testing::TempDir() + "owed-" + std::to_string(getpid()) + ".json") {
+    std::ofstream(path_) << told;
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    id_ = fork();
+    if (id_ == 0) {
+      dup2(ends[1], STDERR_FILENO);
+      setenv("PROXY_CONFIG", path_.c_str(), 1);
+      execl(RUSHHILL_COMMAND, "rushhill", "node", static_cast<char*>(nullptr));
+      _exit(91);
+    }
+    ::close(ends[1]);
+    log_ = ends[0];
+  }
+  ~Process() {
+    if (!ended_) ::kill(id_, SIGKILL), wait();
+    ::close(log_);
+    std::remove(path_.c_str());
+  }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  // Reads its log up to the line with the word.
+  bool says(const std::string& word) {
+    const std::size_t from = said_.size();
+    for (char byte = 0; said_.find(word, from) == std::string::npos || said_.back() != '\n'; said_ += byte) {
+      pollfd waiting{.fd = log_, .events = POLLIN, .revents = 0};
+      if (poll(&waiting, 1, 30'000) <= 0 || ::read(log_, &byte, 1) != 1) return false;
+    }
+    return true;
+  }
+  transport::Address address() {
+    if (!says("serving")) throw std::runtime_error("does not serve: " + said_);
+    const std::size_t at = said_.find("127.0.0.1:", said_.rfind("serving"));
+    return transport::Address(said_.substr(at, said_.find_first_not_of("0123456789.:", at) - at));
+  }
+  void signal(int number) const { ::kill(id_, number); }
+  int wait() {
+    int status = 0;
+    waitpid(id_, &status, 0);
+    ended_ = true;
+    return status;
+  }
+
+ private:
+  std::string path_, said_;
+  pid_t id_ = -1;
+  int log_ = -1;
+  bool ended_ = false;
+};
+
+class ProcessStory : public OwedStory {
+ protected:
+  std::string told(const Settings& settings = {}) {
+    return configuration(settings, board.address(), host("s1", one.address()));
+  }
+  void answer(const std::string& id) {
+    for (const auto& peer : one.peers) {
+      if (peer->seen.find(id) != std::string::npos) peer->stream->write(id + " HIT - 2\r\nok\r\n");
+    }
+  }
+};
+
+TEST_F(ProcessStory, ToldToEndTwiceAndToReadAgainBetweenItAnswersWhatIsOutAndEndsWell) {
+  Process process(told());
+  Visitor visitor(process.address());
+  visitor.send(ask(1, first_id));
+  ASSERT_TRUE(at_servers(first_id));
+  process.signal(SIGTERM);
+  ASSERT_TRUE(process.says("winding up"));
+  process.signal(SIGHUP);
+  ASSERT_TRUE(process.says("configuration read again"));
+  process.signal(SIGTERM);
+  visitor.send(ask(2, second_id));
+  ASSERT_TRUE(at_servers(second_id)) << "requests come for a while yet";
+  answer(first_id);
+  answer(second_id);
+  ASSERT_TRUE(pump.until([&] {
+    const std::string& seen = visitor.seen();
+    const std::size_t first = seen.find("Status: 200");
+    return first != std::string::npos && seen.find("Status: 200", first + 1) != std::string::npos;
+  }));
+  const int status = process.wait();
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+}
+
+TEST_F(ProcessStory, StoppedWhileAClientAsksAndGoesItSendsNothingOfItOnceItGoesOn) {
+  Process process(told());
+  const transport::Address address = process.address();
+  Visitor first(address);
+  first.send(ask(1, first_id));
+  ASSERT_TRUE(at_servers(first_id));
+  process.signal(SIGSTOP);
+  Visitor second(address);
+  second.send(ask(1, second_id));
+  second.leave();
+  first.send(ask(2, third_id) + taken_back(2));
+  process.signal(SIGCONT);
+  pump.pass(well_after);
+  EXPECT_EQ(times_at_servers(second_id), 0);
+  EXPECT_EQ(times_at_servers(third_id), 0);
+}
+
+TEST_F(ProcessStory, KilledWithAnAtMostOnceEventOutItsNextLifeSendsNothingOfIt) {
+  Settings strict;
+  strict.effect = "single_shot";
+  {
+    Process process(told(strict));
+    Visitor visitor(process.address());
+    visitor.send(ask(1, first_id));
+    ASSERT_TRUE(at_servers(first_id));
+    process.signal(SIGKILL);
+    EXPECT_TRUE(WIFSIGNALED(process.wait()));
+    ASSERT_TRUE(pump.until([&] { return one.peers[0]->ended; }));
+  }
+  Process again(told(strict));
+  Visitor visitor(again.address());
+  visitor.send(ask(1, second_id));
+  ASSERT_TRUE(at_servers(second_id));
+  pump.pass(5'000);
+  EXPECT_EQ(times_at_servers(first_id), 1);
+}
+
 }  // namespace
 }  // namespace rushhill::node
