--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -46,7 +46,6 @@
 constexpr double move_burst = 5;      // of these at once
 constexpr double home_excess = 2.2;   // times an even share; what hashes and a burst may bring to one home
 constexpr double cold_part = 0.9;     // share of the rule's budget; leaves room for chance and skew
-constexpr double cold_drawn = 0.5;    // of all events; as many a cold server draws where the rest is full
 constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
 constexpr int refusals_of_shut = 3;   // turned away in a row; a full server still honours some between
 constexpr int cuts_of_death = 3;      // connections lost in a row; a process that dies loses all it has
@@ -193,7 +192,7 @@
         orders_(span_part(d_.load_window)), events_taken_(span_part(d_.load_window)) {
     const auto price = [&](const char* name) { return d_.prices.contains(name) ? d_.prices.at(name) : 0; };
     crossing_ = price("cross-zone") / (price("origin") + load_worth);
-    for (const TrafficType& type : d_.traffic_types) row(type);
+    for (const TrafficType& type : d_.traffic_types) usual_ = std::max(usual_, row(type).usual);
   }
 
   void roster(Time now, RosterForm form, const std::vector<ModelServer>& servers) override {
@@ -239,7 +238,7 @@
     function.lanes = std::max(told.lanes, 1.0);
     function.asked = now;
     function.heat.at(now) += 1;
-    heat_.at(now) += 1, asked_.at(now) += 1;
+    heat_.at(now) += 1;
     if (told.load_time > 0) function.load = static_cast<double>(told.load_time);
     pending.over_share = beyond_share(now, told.customer);
     if (told.left <= d_.tick) return give_up(pending, 0);
@@ -349,23 +348,24 @@
 
   // Rule 4. Whether a cold server can bear one more event from this router. Its capacity is guessed low, from
   // an even share of this router's own honoured events: every router doing so, all together stay under the
-  // rule, heavy types by their weight. A part under one event is kept by thinning what the server may get.
+  // rule, heavy types by weight. A part under one event is kept by thinning what the server would get if
+  // warm; all cold ones get no more than all parts, also where the warm ones are full.
   bool cold_room(Time now, const Server& server, const Pending& pending) const {
-    const Time since = cold_since(now, server);
-    if (since == 0) return true;
-    const double age = std::max(0.0, static_cast<double>(now - since - d_.fall_span));
+    if (cold_since(now, server) == 0) return true;
+    const double part = cold_part_of(now, server) / std::max(1.0, pending.type->usual / usual_);
+    if (part >= 1) return server.sent.over(now) + 1 <= std::floor(part);
+    const double natural = home_excess * std::max(flow_ * ability(server), borne_ * weight(server)) *
+                           static_cast<double>(d_.fall_span);
+    return server.sent.over(now) < 1 && cold_sent_.over(now) < std::round(std::max(cold_parts_, 1.0)) &&
+           even(std::to_string(pending.told.id), server.told.id) * natural < part;
+  }
+  double cold_part_of(Time now, const Server& server) const {
+    const auto span = static_cast<double>(d_.fall_span);
+    const double age = std::max(0.0, static_cast<double>(now - cold_since(now, server)) - span);
     const double share = d_.cold_share + (1 - d_.cold_share) * age / static_cast<double>(d_.cold_span);
-    const double least = 1.0 / (std::max(1, d_.routers) * pending.type->usual);
     const double idle = busy_usual_ > 0 ? std::clamp(1 / busy_usual_, 1.0, 2.0) : 1;
-    const double borne = std::max(borne_ * idle * weight(server), least);
-    const double heavy = usual_ > 0 ? std::max(1.0, pending.type->usual / usual_) : 1;
-    const double budget = d_.fall_multiple * share * borne * static_cast<double>(d_.fall_span);
-    const double part = cold_part * budget / heavy;
-    const double sent = server.sent.over(now);
-    if (part >= 1) return sent + 1 <= std::floor(part);
-    const double even_part = std::max(flow_ * ability(server), borne) * static_cast<double>(d_.fall_span);
-    const double natural = std::max(home_excess * even_part, cold_drawn * asked_.over(now));
-    return sent < 1 && even(std::to_string(pending.told.id), server.told.id) * natural < part;
+    const double borne = std::max(borne_ * idle * weight(server), 1.0 / (std::max(1, d_.routers) * usual_));
+    return cold_part * d_.fall_multiple * share * borne * span;
   }
 
   Time cold_since(Time now, const Server& server) const {
@@ -543,6 +543,7 @@
     ++server.open;
     if (server.unanswered_since == 0) server.unanswered_since = now;
     server.sent.at(now) += 1;
+    if (cold_since(now, server) != 0) cold_sent_.at(now) += 1;
     shots_.at(now) += 1;
     host_.shoot(pending.told.id, id, 0);
   }
@@ -648,8 +649,7 @@
       // the loads that are too many, a slow store behind them: copies that stand still serve.
       weigh(server, 1);
       server.no_loads_until = now + static_cast<Time>(load_time(pending, function) / 2);
-      // One that turns everything away drains, or is full for a while: it is asked again after doubling
-      // pauses.
+      // One that turns all away drains, or is full for a while: it is asked again after doubling pauses.
       const int beyond = std::min(++server.refusals - refusals_of_shut, 6);
       const auto pause = static_cast<Time>(std::ldexp(pending.type->usual, beyond));
       if (beyond >= 0) server.shut_until = now + std::min(pause, second);
@@ -667,14 +667,12 @@
       judge_shot(now, server, shot, end.ending != Ending::honoured && end.ending != Ending::not_stored);
   }
 
-  // What bears more than the fleet's usual load becomes home to fewer functions: hashes load servers
-  // unevenly.
+  // Hashes load servers unevenly: what bears more than usual becomes home to fewer functions.
   void weigh(Server& server, double excess) const {
     const double step = std::min(1.0, static_cast<double>(beat_) / static_cast<double>(ring_span));
     server.ease *= std::exp(-step * std::clamp(excess, -1.0, 1.0));
     server.ease = std::clamp(server.ease, 1 / most_ease, most_ease);
   }
-  // What a cold server makes of its cores says nothing of what a warm one bears.
   void weigh_use(Time now, Server& server, double busy) {
     if (cold_since(now, server) == 0) blend(busy_usual_, busy);
     if (busy_usual_ > 0) weigh(server, busy / busy_usual_ - 1);
@@ -780,7 +778,7 @@
     if (std::exchange(follow_due_, false)) host_.follow(true);
     std::vector<double> bad, paces;
     double done = 0, warm_weight = 0, warm_ability = 0;
-    serving_ = aside_ = 0;
+    serving_ = aside_ = cold_parts_ = 0;
     for (auto& [id, server] : servers_) {
       next_period(now, server);
       if (!may_receive(server)) continue;
@@ -790,6 +788,7 @@
       const Tally recent = server.past.over(now, recent_);
       bad.push_back(recent.judged > 0 ? recent.bad / recent.judged : 0);
       if (recent.paced >= prior_answers) paces.push_back(recent.pace_sum / recent.paced);
+      cold_parts_ += cold_since(now, server) != 0 ? cold_part_of(now, server) : 0;
       if (cold_since(now, server) != 0) continue;
       done += server.past.over(now).honoured;
       warm_weight += weight(server);
@@ -883,17 +882,18 @@
   std::map<EventId, Pending> events_;
   std::map<std::string, Account> accounts_;
   std::set<EventId> waiting_;
-  SpanRing orders_, events_taken_;           // for the ration of orders
-  SpanRing asked_{span_part(d_.fall_span)};  // events taken, for the rule on cold servers
+  SpanRing orders_, events_taken_;               // for the ration of orders
+  SpanRing cold_sent_{span_part(d_.fall_span)};  // to all cold servers
   std::size_t pending_orders_ = 0;
   Counts heat_{second}, shots_{second};                 // events taken, shots sent
   double usual_ = 0, load_usual_ = 0, busy_usual_ = 0;  // time of an answer, of a load; use of cores
   double fleet_pace_ = 1, median_bad_ = 0;
-  double borne_ = 0, flow_ = 0;     // honoured at, sent to a warm server, per weight and time
-  double serving_ = 0, aside_ = 0;  // servers that may receive; of these, set aside
-  Time beat_ = second;              // a server gets one of this router's events in about that
-  int recent_ = recent_buckets;     // buckets that tell of the present
-  double prior_ = prior_answers;    // answers that a server must show, at this beat
+  double borne_ = 0, flow_ = 0;  // honoured at, sent to a warm server, per weight and time
+  // Servers that may receive; of these, set aside; this router's parts at all cold ones.
+  double serving_ = 0, aside_ = 0, cold_parts_ = 0;
+  Time beat_ = second;            // a server gets one of this router's events in about that
+  int recent_ = recent_buckets;   // buckets that tell of the present
+  double prior_ = prior_answers;  // answers that a server must show, at this beat
   std::uint64_t roster_version_ = 0, picks_ = 0;
   double crossing_ = 0;        // score; a crossing's price, in loads
   double moves_ = move_burst;  // overdue shots that may be sent again now
