What has not left for a server that a whole list leaves out is taken back too

Found on rereading: Gateway::roster took shots and orders back for servers that the list names as leaving or left, not for those that a complete or remembered list no longer names, which the module holds for gone. A shot waiting for its connection there left when that came up. At fault: the loop over the list's entries alone. Mend: whatever is reached nowhere from now on, by name or by absence. GatewayStory.TheWordLeavingTakesBack... asks for it; before, the second list adds nothing to what is taken back. An id that a connection no longer carries is no longer looked up blindly.

--- a/src/carrying/line_pool.cpp
+++ b/src/carrying/line_pool.cpp
@@ -105,6 +105,7 @@
   // on its way up for long, or is up and takes nothing.
   std::optional<Exchange> recall(const std::string& tag) {
     const auto it = open_.find(tag);
+    if (it == open_.end()) return std::nullopt;
     const std::size_t from = it->second.from, count = it->second.bytes.size();
     if (!stream_->recall(from, count)) return std::nullopt;
     const auto self = hold();
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -280,7 +280,10 @@
   decide([&](Router& router, Time now) { router.roster(now, form, servers); });
   // What was chosen before the word came and has not left yet is chosen again elsewhere.
   for (const RosterEntry& entry : entries) {
-    if (entry.server.condition != Condition::active) to_.carrier.recall_all(entry.server.id);
+    if (entry.server.condition == Condition::leaving) to_.carrier.recall_all(entry.server.id);
+  }
+  for (const auto& [id, address] : told) {
+    if (address.empty()) to_.carrier.recall_all(id);  // has left, or is missing from a whole list
   }
 }
 
--- a/tests/core/gateway_test.cpp
+++ b/tests/core/gateway_test.cpp
@@ -438,6 +438,8 @@
   gateway->roster(RosterForm::changes, {{{.id = "b", .condition = Condition::leaving}, "127.0.0.1:9001"},
                                         {{.id = "c"}, "127.0.0.1:9002"}});
   EXPECT_EQ(told.recalled, std::vector<ServerId>{"b"});
+  gateway->roster(RosterForm::complete, {{{.id = "c"}, "127.0.0.1:9002"}});
+  EXPECT_EQ(told.recalled, (std::vector<ServerId>{"b", "a", "b"})) << "what a whole list leaves out is gone";
 }
 
 TEST_F(GatewayStory, ARouterThatMustEndAnswersEveryOpenEventOnce) {
