A crowd is shed by what is out longer than usual, before an answer is late

Of 489 beyond the share in the first 2 s 23 were shed, although over_share_worth says 0.05. The servers took 22 to 28 each, ten seconds of work, so that for the next 15 s what was within the share was late or shed (102 of 152 in 2 s at second 16, when hardly anything beyond it came any more).

Ruled out: loads in a pile (3 to 9 of some 45 answers in half a second began one, before and after), homes filled while others idle (use of cores 0.98 on average over the servers), the bound on cold servers (none was cold). At fault: `place` sheds by `wait_at`, which knows late answers only once they have come, and `event` by answers that were late: both a queue's length too late.

Change: own attempts that are out for more than half their usual time, beside those that the answers of the last four seconds keep out at a calm pace (Little's law), tell ten times a second how long answers take now. Beyond half the due time left, times the worth of what is beyond a share, and beyond two usual answers, a request is rejected. Overdue attempts (a silent server) and a router with few requests count for nothing.

Both stories in tests/decide_test.cpp fail without the change (34 and 70 in the queue).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -38,20 +38,25 @@
 constexpr double home_share = 0.3;          // of a server's even load; what one home bears of a hot function
 constexpr double near_tie = 0.01;           // score; less apart is noise to one router, and chance decides
 constexpr double over_share_part = 0.5;     // of the due time left; events beyond a share give way first
-constexpr double crowded_share = 0.15;      // of shots at standing copies; as many miss without a crowd
-constexpr double crowded_gain = 2;          // events shed for each shot beyond; more would swing
-constexpr double shed_most = 0.9;           // of a customer's events; the rest shows when the crowd is gone
-constexpr double quota_slack = 3;           // events; a part of a quota under one event comes by chance
-constexpr double move_share = 0.1;    // overdue shots sent again, of answers; a silent server costs as many
-constexpr double move_burst = 5;      // of these at once
-constexpr double home_excess = 2.2;   // times an even share; what hashes and a burst may bring to one home
-constexpr double cold_part = 0.9;     // share of the rule's budget; leaves room for chance and skew
-constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
-constexpr int refusals_of_shut = 3;   // turned away in a row; a full server still honours some between
-constexpr int cuts_of_death = 3;      // connections lost in a row; a process that dies loses all it has
-constexpr double learn = 0.05;        // weight of a new answer; some twenty answers make the mean
-constexpr double load_worth = 0.5;    // of an event's importance; a load makes about that many late
-constexpr std::size_t order_cap = 4;  // orders pending; a store shared by all is soon crowded
+constexpr double crowd_part = 0.5;          // of the due time left; the fullest servers take twice the mean
+constexpr double crowd_prior = 1;           // requests; one out there is no crowd
+constexpr double calm_follow = 0.005;   // of a rise, each tenth of a second: some twenty seconds, as the ring
+constexpr double outlast_after = 0.5;   // usual times; a request just sent tells nothing
+constexpr double outlast_share = 0.6;   // of exponential times that are longer than that
+constexpr double crowded_share = 0.15;  // of shots at standing copies; as many miss without a crowd
+constexpr double crowded_gain = 2;      // events shed for each shot beyond; more would swing
+constexpr double shed_most = 0.9;       // of a customer's events; the rest shows when the crowd is gone
+constexpr double quota_slack = 3;       // events; a part of a quota under one event comes by chance
+constexpr double move_share = 0.1;      // overdue shots sent again, of answers; a silent server costs as many
+constexpr double move_burst = 5;        // of these at once
+constexpr double home_excess = 2.2;     // times an even share; what hashes and a burst may bring to one home
+constexpr double cold_part = 0.9;       // share of the rule's budget; leaves room for chance and skew
+constexpr double most_ease = 4.5;       // times; a server stays home to some functions, however busy
+constexpr int refusals_of_shut = 3;     // turned away in a row; a full server still honours some between
+constexpr int cuts_of_death = 3;        // connections lost in a row; a process that dies loses all it has
+constexpr double learn = 0.05;          // weight of a new answer; some twenty answers make the mean
+constexpr double load_worth = 0.5;      // of an event's importance; a load makes about that many late
+constexpr std::size_t order_cap = 4;    // orders pending; a store shared by all is soon crowded
 constexpr Time forget_after = 120 * second;     // time; a function not asked for so long leaves the Index
 constexpr std::int64_t housekeeping_token = 0;  // other tokens are an event's id + 1, for its limit
 
@@ -526,9 +531,12 @@
       return;
     }
     // What can't be answered in its time, or before its client leaves, is shed at once: such work is wasted.
+    const double usual = usual_time(pending, function), calm = usual * calm_pace_;
     const double wait = wait_at(now, pending, function, *server, server->past.over(now, recent_));
     const double tolerated = pending.over_share ? due_left * over_share_part : due_left;
-    const bool too_late = wait > std::max(tolerated, 2 * usual_time(pending, function)) || wait > left;
+    const double in_crowd = due_left * (pending.over_share ? d_.over_share_worth : 1) * crowd_part;
+    const bool too_late = wait > std::max(tolerated, 2 * usual) || wait > left ||
+                          calm * crowding_ > std::max(in_crowd, 2 * calm);
     if (too_late && may_shed(pending) && !any_open(pending)) return give_up(pending, d_.longest_retry_advice);
     shoot(now, pending, function, *server);
   }
@@ -575,7 +583,10 @@
     Function& function = functions_[pending.told.function];
     if (pending.done || pending.streaming >= 0 || pending.shots.empty() || !pending.shots.back().open) return;
     for (Shot& shot : pending.shots) {
-      if (!shot.open || shot.judged || now < shot.sent + patience(pending, function, shot)) continue;
+      if (!shot.open || shot.judged) continue;  // overdue: at a silent server, it keeps nobody waiting
+      const double usual = usual_time(pending, function) * calm_pace_;
+      outlasting_ += static_cast<double>(now - shot.sent) > outlast_after * usual ? 1 : 0;
+      if (now < shot.sent + patience(pending, function, shot)) continue;
       judge_shot(now, servers_.at(shot.server), shot, true);
     }
     const Shot& newest = pending.shots.back();
@@ -585,6 +596,15 @@
       move_on(now, pending, function);
   }
 
+  // By Little's law: own attempts that outlast their usual time, beside those that the answers of late keep
+  // out at the usual pace, tell how long answers take now, well before the first late one comes.
+  void weigh_crowd(Time now) {
+    const Time span = std::clamp(now - born_, second, Time{recent_buckets} * second);
+    const double usual_open = ideal_.over(now, recent_buckets) / static_cast<double>(span);
+    const double crowd = std::max(0.0, outlasting_ - outlast_share * usual_open);
+    crowding_ = heat_.over(now) < few_events ? 1 : 1 + crowd / (usual_open + crowd_prior);
+  }
+
   void move_on(Time now, Pending& pending, Function& function) {
     const TrafficType& type = pending.type->told;
     const bool capped = static_cast<int>(pending.shots.size()) >= d_.shot_cap;
@@ -644,6 +664,9 @@
       if (shot.sent < server.reborn && now - server.reborn > d_.tick) server.reborn = 0;
       moves_ = std::min(moves_ + move_share, move_burst);
       learn_times(now, pending, function, server, shot, end);
+      const bool loaded = d_.tells_warm ? end.warmth != Warmth::found : !shot.confirmed;
+      ideal_.at(now) +=
+          usual_time(pending, function) * calm_pace_ + (loaded ? load_time(pending, function) : 0);
     } else if (end.ending == Ending::turned_away) {
       // Full, or draining before the roster says so: home to fewer functions. Where no copy stood it may be
       // the loads that are too many, a slow store behind them: copies that stand still serve.
@@ -796,6 +819,7 @@
     }
     median_bad_ = median(bad, 0);
     fleet_pace_ = median(paces, fleet_pace_);
+    calm_pace_ = std::min(fleet_pace_, calm_pace_ + calm_follow * (fleet_pace_ - calm_pace_));
     const double shots = std::max(shots_.over(now, recent_buckets), heat_.over(now, recent_buckets));
     flow_ = shots / std::max(warm_ability, 0.1) / static_cast<double>(recent_buckets * second);
     const Time seen = std::clamp(now - born_, second, ring_span);
@@ -816,7 +840,9 @@
       const auto& [id, server] = item;
       return server.gone_at != 0 && server.open == 0 && now - server.gone_at > forget_after;
     });
+    outlasting_ = 0;
     for (auto& [id, pending] : events_) look(now, pending);
+    weigh_crowd(now);
     place_waiting(now);
     std::erase_if(events_, [](const auto& item) { return item.second.done && !any_open(item.second); });
   }
@@ -885,9 +911,11 @@
   SpanRing orders_, events_taken_;               // for the ration of orders
   SpanRing cold_sent_{span_part(d_.fall_span)};  // to all cold servers
   std::size_t pending_orders_ = 0;
-  Counts heat_{second}, shots_{second};                 // events taken, shots sent
+  double outlasting_ = 0, crowding_ = 1;  // own attempts out longer than usual; times that answers now take
+  // Events taken, shots sent, and the time that those honoured would have taken without a crowd.
+  Counts heat_{second}, shots_{second}, ideal_{second};
   double usual_ = 0, load_usual_ = 0, busy_usual_ = 0;  // time of an answer, of a load; use of cores
-  double fleet_pace_ = 1, median_bad_ = 0;
+  double fleet_pace_ = 1, calm_pace_ = 1, median_bad_ = 0;
   double borne_ = 0, flow_ = 0;  // honoured at, sent to a warm server, per weight and time
   // Servers that may receive; of these, set aside; this router's parts at all cold ones.
   double serving_ = 0, aside_ = 0, cold_parts_ = 0;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -473,6 +473,64 @@
   EXPECT_LE(story.host.sheds.size(), 29U);
 }
 
+// The servers answer forty requests a second, each in a tenth of one, in their order; from now on twice as
+// many come.
+struct Crowd : Story {
+  void begin() {
+    start(12);
+    come(200, "quiet", 1);
+  }
+  void come(int requests, const std::string& tenant, int for_each_answer) {
+    for (int i = 0; i < requests; ++i) {
+      const EventId id = event("f" + std::to_string(i % 6), 3 * second, tenant);
+      if (shots_of(id) > 0) queue.push_back({id, now});
+      pass(second / 40 / for_each_answer);
+      if (i % for_each_answer != 0 || queue.size() < 4) continue;
+      const auto [first, sent] = queue.front();
+      queue.erase(queue.begin());
+      end(first, Ending::honoured, Warmth::found, now - sent);
+    }
+  }
+  std::vector<std::pair<EventId, Time>> queue;
+};
+
+TEST(Overload, CrowdIsSeenInWhatIsOutBeforeAnAnswerIsLate) {
+  Crowd story;
+  story.begin();
+  ASSERT_TRUE(story.host.sheds.empty());
+  story.come(240, "quiet", 2);
+  EXPECT_LE(story.queue.size(), 40U);  // answered within a second, which is the due time
+  EXPECT_GE(story.queue.size(), 10U);
+}
+
+// What lies beyond a share is worth little, and a queue of it delays the rest.
+TEST(Overload, WhatIsBeyondAShareGivesWayToTheRestInACrowd) {
+  Crowd story;
+  story.deployment.traffic_types[0].due = 2 * second;
+  story.deployment.routers = 1;
+  story.deployment.over_share_worth = 0.05;
+  story.deployment.customers.push_back({.name = "loud", .share = 0.5, .quota_per_s = 1});
+  story.deployment.customers.push_back({.name = "quiet", .share = 0.5, .quota_per_s = 1000});
+  story.begin();
+  story.come(240, "loud", 2);
+  EXPECT_LE(story.queue.size(), 20U);
+  const std::size_t shots = story.host.shots.size();
+  story.event("f1", 3 * second, "quiet");
+  EXPECT_EQ(story.host.shots.size(), shots + 1);
+}
+
+// What hangs at a server gone silent is no crowd: the others are as free as before.
+TEST(Overload, RequestsOutAtASilentServerShedNothingElsewhere) {
+  Story story;
+  story.start(12);
+  for (int i = 0; i < 60; ++i) story.honour("f" + std::to_string(i % 6));
+  for (int i = 0; i < 8; ++i) story.event("g", 60 * second);  // never answered
+  story.pass(2 * second);
+  const std::size_t before = story.host.sheds.size();
+  for (int i = 0; i < 60; ++i) story.honour("f" + std::to_string(i % 6));
+  EXPECT_EQ(story.host.sheds.size(), before);
+}
+
 TEST(Overload, PartOfAQuotaUnderOneEventIsNotBeyondIt) {
   Story story;
   story.deployment.routers = 200;
