HTTP: however much a client pipelines, its leaving is seen

Cause: above 64 KiB of further requests the HTTP front stopped to read the connection while a request on it was being answered, and with that no longer saw its end: the first request's client gone, a refusal 0.1 s later was followed by a further attempt, and the event stayed open (FrontLeavingStory.HoweverMuch..., failed for close, half-close and reset).

Change: it goes on reading. Kept are 64 KiB and a body of the largest size; where more comes, what is behind is not taken, the present answer says Connection: close, and the connection ends after it (RFC 9112, 9.6). A client that pipelined more than that was read on slowly before; now it sends the rest again on another connection.

--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -15,7 +15,8 @@
 using transport::HttpRequest;
 using transport::HttpResponse;
 
-constexpr std::size_t read_ahead = 64 * 1024;  // bytes of further requests held while one is answered
+constexpr std::size_t read_ahead =
+    64 * 1024;  // bytes of further requests held while one is answered, beside a body of the largest size
 constexpr Time linger = 10'000;  // tenths of a millisecond; the last answer is read before the close
 
 // An answer that is no reply: RFC 9457, with what a client must know before it repeats.
@@ -76,18 +77,21 @@
   }
 
   void arrived(std::string_view bytes) override {
-    if (closing_) return;  // the last answer is on its way
+    if (closing_ || !keep_alive_) return;  // nothing further is taken
     in_ += bytes;
-    if (answering_ || stream_->waiting() > 0) {
-      if (in_.size() > read_ahead) stream_->read(false);
-      return;
-    }
-    proceed();
+    if (!answering_ && stream_->waiting() == 0) return proceed();
+    if (in_.size() <= front_.rules_.body + read_ahead) return;
+    // Reading goes on, since nothing else shows that the client leaves. What is not kept is not taken, and
+    // the connection ends after the present answer, which says so.
+    keep_alive_ = false;
+    in_ = {};
   }
 
   void lost(transport::Loss) override { front_.forget(*this); }
   void drained() override {
-    if (!answering_ && !closing_) next();
+    if (answering_ || closing_) return;
+    if (!keep_alive_) return close_after();
+    next();
   }
 
   void honoured(EventId event, events::CloudEvent reply) override {
@@ -270,7 +274,6 @@
 
   // The next request, when what runs now has returned.
   void next() {
-    stream_->read(true);
     set_alarm(front_.rules_.idle);
     if (in_.empty()) return;
     reactor_.soon([this, alive = std::weak_ptr(life_)] {
@@ -281,7 +284,6 @@
   void close_after() {
     closing_ = true;
     in_.clear();
-    stream_->read(true);
     stream_->finish();
     set_alarm(linger);
   }
--- a/tests/fronts/http_front_test.cpp
+++ b/tests/fronts/http_front_test.cpp
@@ -43,6 +43,7 @@
       shot.push_back(peer.seen.substr(at, peer.seen.find("\r\n", at) - at));
       const std::string data = "\"" + shot.back() + "\"";
       peer.seen.clear();
+      asked = &peer;
       if (!answering) return;
       peer.stream->write(
           "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r\r\nce-source: /s\r\nce-type: t\r\n"
@@ -79,6 +80,7 @@
   router::RouterProcess router{reactor, deployment::read_text("f", deployment_text), 5, silent};
   std::vector<std::unique_ptr<RawPeer>> clients;
   std::vector<std::string> shot;
+  RawPeer* asked = nullptr;  // last
   bool answering = true;
 };
 
@@ -242,5 +244,107 @@
   EXPECT_TRUE(pump.until([&] { return over; }));
 }
 
+// What stands behind the request that is being answered: nothing of it may hide that its client leaves.
+enum class Way { closes, half_closes, resets };
+class FrontLeavingStory : public FrontStory, public testing::WithParamInterface<Way> {
+ protected:
+  FrontLeavingStory() {
+    answering = false;
+    router.gateway().roster(RosterForm::complete,
+                            {{{.id = "s"}, server.address()}, {{.id = "t"}, server.address()}});
+  }
+  static void leave(Visitor& visitor) {
+    if (GetParam() == Way::closes) visitor.leave();
+    if (GetParam() == Way::half_closes) visitor.half_close();
+    if (GetParam() == Way::resets) visitor.reset();
+  }
+  void refuse() {
+    asked->stream->write(
+        "HTTP/1.1 503 Service Unavailable\r\nrushhill-never-ran: full\r\ncontent-length: 0\r\n\r\n");
+  }
+  // An idle connection to each server: a further attempt leaves at once.
+  bool connected() {
+    answering = true;
+    for (int round = 0; round < 8 && server.peers.size() < 4; ++round) {
+      clients.clear();
+      const std::size_t before = shot.size();
+      for (int i = 0; i < 3; ++i) connect().stream->write(request("warm"));
+      if (!pump.until([&] { return shot.size() == before + 3 && router.gateway().open() == 0; }))
+        return false;
+    }
+    clients.clear();
+    answering = false;
+    shot.clear();
+    return server.peers.size() >= 4;
+  }
+  static std::string pipelined(std::size_t bytes) {
+    std::string more;
+    for (int i = 0; more.size() < bytes; ++i)
+      more += request("more-" + std::to_string(i), "content-length: 1000\r\n\r\n" + std::string(1'000, '.'));
+    return more;
+  }
+};
+INSTANTIATE_TEST_SUITE_P(Ways, FrontLeavingStory,
+                         testing::Values(Way::closes, Way::half_closes, Way::resets));
+constexpr std::chrono::milliseconds too_late{250};  // an attempt may begin 0.1 s after the leaving at most
+
+TEST_P(FrontLeavingStory, ARequestThatStandsBesideItsClientsLeavingIsNotSent) {
+  Visitor visitor(router.address());
+  pump.pass(200);
+  visitor.send(request("gone"));
+  leave(visitor);
+  std::this_thread::sleep_for(too_late);
+  pump.pass(2'000);
+  EXPECT_TRUE(shot.empty());
+  EXPECT_EQ(router.gateway().open(), 0U);
+}
+
+TEST_P(FrontLeavingStory, ARequestBehindDoesNotHideTheLeavingFromARefusal) {
+  Visitor visitor(router.address());
+  ASSERT_TRUE(connected());
+  visitor.send(request("first"));
+  ASSERT_TRUE(pump.until([&] { return shot.size() == 1; }));
+  visitor.send(request("second"));
+  leave(visitor);
+  refuse();
+  std::this_thread::sleep_for(too_late);
+  pump.pass(2'000);
+  EXPECT_EQ(shot, std::vector<std::string>{"first"});
+  EXPECT_EQ(router.gateway().open(), 0U);
+}
+
+// More than is read ahead.
+TEST_P(FrontLeavingStory, HoweverMuchStandsBehindARequestItDoesNotHideTheLeaving) {
+  Visitor visitor(router.address());
+  visitor.send(request("first"));
+  ASSERT_TRUE(pump.until([&] { return shot.size() == 1; }));
+  visitor.send(pipelined(300'000));
+  pump.pass(500);
+  leave(visitor);
+  pump.pass(1'000);
+  refuse();
+  pump.pass(2'000);
+  EXPECT_EQ(shot, std::vector<std::string>{"first"});
+  EXPECT_EQ(router.gateway().open(), 0U);
+}
+
+TEST_F(FrontStory, WhereMoreComesThanIsReadAheadTheAnswerSaysThatTheRestIsNotTaken) {
+  answering = false;
+  RawPeer& client = connect();
+  client.stream->write(request("first"));
+  ASSERT_TRUE(pump.until([&] { return shot.size() == 1; }));
+  for (int i = 0; i < 300; ++i)
+    client.stream->write(request("more", "content-length: 1000\r\n\r\n" + std::string(1'000, '.')));
+  pump.pass(2'000);
+  server.peers.front()->stream->write(
+      "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r\r\nce-source: /s\r\nce-type: t\r\ncontent-length: "
+      "0\r\n\r\n");
+  ASSERT_TRUE(pump.until([&] { return client.ended; }));
+  EXPECT_TRUE(says(client.seen, "HTTP/1.1 200")) << client.seen;
+  EXPECT_TRUE(says(client.seen, "Connection: close")) << client.seen;
+  EXPECT_EQ(count(client.seen), 1U);
+  EXPECT_EQ(shot, std::vector<std::string>{"first"});
+}
+
 }  // namespace
 }  // namespace rushhill
