Attempts that begin when their client's leaving can be read already are counted

Nothing told whether that still happens. A carrier now says when the first bytes of an attempt have left; the front looks whether something of its client stands unread then, and where the leaving turns out to be part of it, the attempt counts: `attempts_after_cancel`, in the tally of `serve` and the last line of `node`. What came between the sending and that look, microseconds, counts too: it never counts too few. It costs one look (recv with MSG_PEEK) an attempt.

--- a/src/carrying/line_pool.cpp
+++ b/src/carrying/line_pool.cpp
@@ -25,6 +25,7 @@
   std::string bytes{};
   Time limit = 0;        // 0: ended from above
   bool again = false;    // it has been on a connection that took none of it
+  bool started = false;  // bytes of it have left
   std::size_t from = 0;  // bytes before it on its connection
   core::Alarm alarm{};
 };
@@ -86,6 +87,7 @@
     if (exchange.kind == Exchange::Kind::shot) pool_.shots_[{exchange.event, exchange.leg}] = this;
     open_.emplace(exchange.tag, std::move(exchange));
     stream_->write(bytes);
+    note_started();
     if (stream_->waiting() > most_unsent) retired_ = true;
   }
 
@@ -160,6 +162,7 @@
     }
   }
 
+  void drained() override { note_started(); }
   void lost(Loss why) override {
     fail(why == Loss::refused ? Ending::no_connection : Ending::connection_lost, true);
   }
@@ -169,6 +172,12 @@
     const auto it = server_.links.find(this);
     return it == server_.links.end() ? nullptr : it->second;
   }
+  void note_started() {
+    for (auto& [tag, exchange] : open_) {
+      if (exchange.kind != Exchange::Kind::shot || stream_->handed_over() <= exchange.from) continue;
+      if (!std::exchange(exchange.started, true)) pool_.carried_->attempt_started(exchange.event);
+    }
+  }
   void rest() {
     idle_since_ = reactor_.now();
     alarm_ = reactor_.at(idle_since_ + pool_.bounds_.idle, [this] { pool_.forget(*this); });
--- a/src/command/node.cpp
+++ b/src/command/node.cpp
@@ -55,7 +55,9 @@
     }
   });
   reactor.run();
-  diary.line(core::Level::info, "ended", {{"open", std::to_string(router.gateway().open())}});
+  diary.line(core::Level::info, "ended",
+             {{"open", std::to_string(router.gateway().open())},
+              {"attempts_after_cancel", std::to_string(router.gateway().tally().attempts_after_cancel)}});
   reactor.forget_all();
   return 0;
 }
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -125,7 +125,8 @@
   proceed(event, it->second, std::move(told), how);
 }
 
-void Gateway::client_gone(EventId event) {
+void Gateway::client_gone(EventId event, std::uint64_t unread) {
+  tally_.attempts_after_cancel += unread;
   const auto it = open_.find(event);
   if (it == open_.end() || it->second.client == nullptr) return;
   it->second.client = nullptr;
@@ -201,6 +202,11 @@
   });
 }
 
+void Gateway::attempt_started(EventId event) {
+  const auto it = open_.find(event);
+  if (it != open_.end() && it->second.client != nullptr) it->second.client->attempt_started(event);
+}
+
 void Gateway::shot_ended(EventId event, int leg, ShotResult result) {
   const auto it = open_.find(event);
   if (it == open_.end() || static_cast<std::size_t>(leg) >= it->second.legs.size()) return;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -22,6 +22,8 @@
   std::uint64_t overdue = 0;  // answered by the core at the hard limit, since the module had not
   std::uint64_t known = 0,
                 not_held = 0;  // of abandoned: taken before; of shed: its mark was not held in time
+  // Of shots: they started when their client's leaving stood to be read already.
+  std::uint64_t attempts_after_cancel = 0;
   std::uint64_t shots = 0, probes = 0, orders = 0, unloads = 0, told = 0;
   std::array<std::uint64_t, 9> endings{};  // by Ending
 };
@@ -54,7 +56,8 @@
   // here. Nothing: the source has no room. The answer never comes before this returns.
   std::optional<EventId> take(taking::Shares::Source source, Client& client, Event told,
                               events::CloudEvent message);
-  void client_gone(EventId event);
+  // `unread`: attempts that started for it while something stood unread of which this is a part.
+  void client_gone(EventId event, std::uint64_t unread = 0);
 
   void roster(RosterForm form, const std::vector<RosterEntry>& entries);
   void peer_told(int router, const std::string& bytes);
@@ -73,6 +76,7 @@
   const Deployment& deployment() const { return deployment_; }
 
   // Carried
+  void attempt_started(EventId event) override;
   void shot_ended(EventId event, int leg, ShotResult result) override;
   void probe_ended(const ServerId& server, Ending ending, const LoadReport& report) override;
   void order_ended(const ServerId& server, const FunctionId& function, Ending ending, int copies) override;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -26,6 +26,8 @@
 class Carried {
  public:
   virtual ~Carried() = default;
+  // Its first bytes have left; the one call that may come from within the asking.
+  virtual void attempt_started(EventId) {}
   virtual void shot_ended(EventId event, int leg, ShotResult result) = 0;
   virtual void probe_ended(const ServerId& server, Ending ending, const LoadReport& report) = 0;
   virtual void order_ended(const ServerId& server, const FunctionId& function, Ending ending, int copies) = 0;
@@ -66,6 +68,8 @@
   virtual void abandoned(EventId event) = 0;
   // Instead of abandoned: it never ran here, but was taken before, here or by another router.
   virtual void known(EventId event) { abandoned(event); }
+  // Besides, as often as it happens; not to be answered with a call of the gateway.
+  virtual void attempt_started(EventId) {}
 };
 
 class Peers {
--- a/src/fronts/fastcgi_front.cpp
+++ b/src/fronts/fastcgi_front.cpp
@@ -154,7 +154,7 @@
     stream_->close();
     for (const auto& [event, request] : std::exchange(open_, {})) {
       front_.open_ids_.erase(request.id);
-      front_.gateway_.client_gone(event);
+      front_.gateway_.client_gone(event, request.unread);
     }
   }
 
@@ -192,7 +192,10 @@
     for (auto& [number, request] : std::exchange(come_, {})) {
       if (!gone_) begin(number, std::move(request));
     }
-    if (!gone_ && stream_->waiting() > front_.rules_.unread) front_.forget(*this);
+    if (!gone_ && stream_->waiting() > front_.rules_.unread) return front_.forget(*this);
+    if (gone_ || !unread_ || stream_->ahead() != Stream::Ahead::nothing) return;
+    unread_ = false;
+    for (auto& [event, request] : open_) request.unread = 0;
   }
   void lost(Loss) override { front_.forget(*this); }
 
@@ -201,6 +204,7 @@
     Number number = 0;
     bool keep = true;
     std::string id{};
+    std::uint64_t unread = 0;  // attempts that started while something of its client stood unread
   };
 
   // fastcgi::Taker
@@ -266,7 +270,7 @@
       if (it != open_.end()) {
         const EventId event = it->first;
         const Open request = close(event);
-        front_.gateway_.client_gone(event);
+        front_.gateway_.client_gone(event, request.unread);
         if (!gone_) write(fastcgi::end_request(number, Ended::complete, 1), request.keep);
         return;
       }
@@ -290,6 +294,12 @@
   }
 
   // core::Client
+  void attempt_started(EventId event) override {
+    const auto it = open_.find(event);
+    if (it == open_.end() || stream_->ahead() == Stream::Ahead::nothing) return;
+    ++it->second.unread;
+    unread_ = true;
+  }
   void honoured(EventId event, events::CloudEvent answer) override {
     const Open request = close(event);
     reply(request.number, request.keep, response(200, "OK", "", answer.data));
@@ -335,6 +345,7 @@
   std::vector<std::pair<Number, fastcgi::Request>> come_;  // whole, and not begun
   Time quiet_since_;
   bool asked_ = false, closing_ = false, gone_ = false;
+  bool unread_ = false;  // something stood unread when an attempt started
 };
 
 FastCgiFront::FastCgiFront(transport::Reactor& reactor, core::Gateway& gateway, core::Diary& diary,
--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -73,10 +73,12 @@
     closing_ = true;
     reactor_.withdraw(alarm_);
     stream_->close();
-    for (const auto& [event, row] : std::exchange(places_, {})) front_.gateway_.client_gone(event);
+    for (const auto& [event, row] : std::exchange(places_, {}))
+      front_.gateway_.client_gone(event, std::exchange(unread_, 0));
   }
 
   void arrived(std::string_view bytes) override {
+    if (unread_ > 0 && stream_->ahead() == transport::Stream::Ahead::nothing) unread_ = 0;
     if (closing_ || !keep_alive_) return;  // nothing further is taken
     in_ += bytes;
     if (!answering_ && stream_->waiting() == 0) return proceed();
@@ -86,6 +88,9 @@
     keep_alive_ = false;
     in_ = {};
   }
+  void attempt_started(EventId) override {
+    if (stream_->ahead() != transport::Stream::Ahead::nothing) ++unread_;
+  }
 
   void lost(transport::Loss) override { front_.forget(*this); }
   void drained() override {
@@ -296,6 +301,7 @@
   std::map<EventId, std::size_t> places_;  // events that await their answer, and their row in a batch
   Json rows_;
   core::Alarm alarm_;
+  std::uint64_t unread_ = 0;  // attempts that started while something of the client stood unread
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
   bool begun_ = false;      // a part of a request has come
   bool answering_ = false;  // a whole one has come and is not answered yet
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -153,6 +153,7 @@
                         {"refused", tally.refused},
                         {"overdue", tally.overdue},
                         {"shots", tally.shots},
+                        {"attempts_after_cancel", tally.attempts_after_cancel},
                         {"probes", tally.probes},
                         {"orders", tally.orders},
                         {"told", tally.told},
--- a/src/transport/server_pool.cpp
+++ b/src/transport/server_pool.cpp
@@ -140,6 +140,7 @@
   FunctionId function{};
   Time limit = 0;  // 0: ended from above
   std::string bytes{};
+  bool started = false;  // bytes of it have left
 };
 
 // One connection: connecting, at one exchange, or idle.
@@ -178,6 +179,7 @@
   void take_back() { fail(Ending::not_sent); }
 
   void opened() override { send(); }
+  void drained() override { note_started(); }
 
   void arrived(std::string_view bytes) override {
     if (!exchange_) return pool_.forget(*this);  // nothing was asked: not to be trusted
@@ -210,6 +212,11 @@
     if (exchange_->limit > 0) alarm_ = reactor_.at(exchange_->limit, [this] { fail(Ending::no_answer); });
     const std::string bytes = std::move(exchange_->bytes);
     stream_->write(bytes);
+    note_started();
+  }
+  void note_started() {
+    if (!exchange_ || exchange_->kind != Exchange::Kind::shot || unsent()) return;
+    if (!std::exchange(exchange_->started, true)) pool_.carried_->attempt_started(exchange_->event);
   }
 
   void answered(HttpResponse response) {
--- a/tests/fronts/http_front_test.cpp
+++ b/tests/fronts/http_front_test.cpp
@@ -313,6 +313,31 @@
   EXPECT_EQ(router.gateway().open(), 0U);
 }
 
+// The leaving comes within the turn, after the loop has looked which connections can be read and before the
+// refusal. Without a stall the attempt may leave, within 0.1 s, and is counted.
+TEST_P(FrontLeavingStory, ARefusalInTheTurnOfTheLeavingIsNotFollowedByAnAttemptAfterAStall) {
+  ASSERT_TRUE(connected());
+  RawServer aside(reactor);
+  Visitor poke(aside.listener.address());
+  ASSERT_TRUE(pump.until([&] { return aside.peers.size() == 1; }));
+  for (const bool stall : {true, false}) {
+    Visitor visitor(router.address());
+    const std::size_t before = shot.size();
+    visitor.send(request("first"));
+    ASSERT_TRUE(pump.until([&] { return shot.size() == before + 1; }, 50'000));
+    aside.on_bytes = [&](RawPeer&) {
+      leave(visitor);
+      if (stall) std::this_thread::sleep_for(too_late);
+    };
+    refuse();
+    poke.send("x");
+    pump.pass(3'000);
+    const std::size_t further = shot.size() - before - 1;
+    EXPECT_EQ(tally().attempts_after_cancel, further);
+    EXPECT_LE(further, stall ? 0U : 1U);
+  }
+}
+
 // More than is read ahead.
 TEST_P(FrontLeavingStory, HoweverMuchStandsBehindARequestItDoesNotHideTheLeaving) {
   Visitor visitor(router.address());
