Without a descriptor left a connection to a server is refused, and the program goes on

Cause: the loop had the system make the socket outside of what it is ready to see fail, so that an attempt that found the process or the machine without a descriptor ended in an exception, which the loop takes for a fault of the program and ends it.

Change: the socket is made where connecting may fail; the stream is lost as refused, as after any refused connection.

--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -251,7 +251,7 @@
 }
 
 std::shared_ptr<Stream> Loop::connect(const Address& address, StreamUser& user) {
-  const auto stream = std::make_shared<SocketStream>(*this, net::StreamSocket(address.family()), user);
+  const auto stream = std::make_shared<SocketStream>(*this, net::StreamSocket(), user);
   stream->connect(address);
   return stream;
 }
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -1,4 +1,5 @@
 // Alarms, datagrams between routers, and what a stream does when its peer does not read.
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "core/alarms.h"
@@ -109,6 +110,27 @@
   user.stream->close();
 }
 
+// The system gives none, whatever the program counts: that ends the connection and not the program.
+TEST(Stream, WithoutADescriptorLeftAConnectionIsRefused) {
+  Loop reactor;
+  Pump pump(reactor);
+  RawServer server(reactor);
+  // The sanitizer needs descriptors itself to look at an object of a kind that it has not met.
+  RawPeer met(reactor, numeric_address(server.address()));
+  ASSERT_TRUE(pump.until([&] { return server.peers.size() == 1; }));
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int next = dup(0);
+  close(next);
+  const rlimit none{static_cast<rlim_t>(next), before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &none);
+  std::unique_ptr<RawPeer> opened;
+  EXPECT_NO_THROW(opened = std::make_unique<RawPeer>(reactor, numeric_address(server.address())));
+  setrlimit(RLIMIT_NOFILE, &before);
+  ASSERT_NE(opened, nullptr);
+  EXPECT_TRUE(pump.until([&] { return opened->ended; }));
+}
+
 // Bytes on connections that came to us and on ones that we opened, and an alarm that is due, all stand there
 // before the loop turns; many of each, so that no order by chance passes.
 TEST(Turn, WhatCameToUsIsReadFirstThenWhatWeOpenedThenAlarmsRing) {
