--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -15,7 +15,8 @@
 using transport::HttpRequest;
 using transport::HttpResponse;
 
-constexpr std::size_t read_ahead = 64 * 1024;  // bytes of further requests held while one is answered
+constexpr std::size_t read_ahead =
+    64 * 1024;  // bytes of further requests held while one is answered, beside a body of the largest size
 constexpr Time linger = 10'000;  // tenths of a millisecond; the last answer is read before the close
 
 // An answer that is no reply: RFC 9457, with what a client must know before it repeats.
@@ -72,22 +73,30 @@
     closing_ = true;
     reactor_.withdraw(alarm_);
     stream_->close();
-    for (const auto& [event, row] : std::exchange(places_, {})) front_.gateway_.client_gone(event);
+    for (const auto& [event, row] : std::exchange(places_, {}))
+      front_.gateway_.client_gone(event, std::exchange(unread_, 0));
   }
 
   void arrived(std::string_view bytes) override {
-    if (closing_) return;  // the last answer is on its way
+    if (unread_ > 0 && stream_->ahead() == transport::Stream::Ahead::nothing) unread_ = 0;
+    if (closing_ || !keep_alive_) return;  // nothing further is taken
     in_ += bytes;
-    if (answering_ || stream_->waiting() > 0) {
-      if (in_.size() > read_ahead) stream_->read(false);
-      return;
-    }
-    proceed();
+    if (!answering_ && stream_->waiting() == 0) return proceed();
+    if (in_.size() <= front_.rules_.body + read_ahead) return;
+    // Reading goes on, since nothing else shows that the client leaves. What is not kept is not taken, and
+    // the connection ends after the present answer, which says so.
+    keep_alive_ = false;
+    in_ = {};
+  }
+  void attempt_started(EventId) override {
+    if (stream_->ahead() != transport::Stream::Ahead::nothing) ++unread_;
   }
 
   void lost(transport::Loss) override { front_.forget(*this); }
   void drained() override {
-    if (!answering_ && !closing_) next();
+    if (answering_ || closing_) return;
+    if (!keep_alive_) return close_after();
+    next();
   }
 
   void honoured(EventId event, events::CloudEvent reply) override {
@@ -270,7 +279,6 @@
 
   // The next request, when what runs now has returned.
   void next() {
-    stream_->read(true);
     set_alarm(front_.rules_.idle);
     if (in_.empty()) return;
     reactor_.soon([this, alive = std::weak_ptr(life_)] {
@@ -281,7 +289,6 @@
   void close_after() {
     closing_ = true;
     in_.clear();
-    stream_->read(true);
     stream_->finish();
     set_alarm(linger);
   }
@@ -294,6 +301,7 @@
   std::map<EventId, std::size_t> places_;  // events that await their answer, and their row in a batch
   Json rows_;
   core::Alarm alarm_;
+  std::uint64_t unread_ = 0;  // attempts that started while something of the client stood unread
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
   bool begun_ = false;      // a part of a request has come
   bool answering_ = false;  // a whole one has come and is not answered yet
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -1,4 +1,5 @@
 // Alarms, datagrams between routers, and what a stream does when its peer does not read.
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "core/alarms.h"
@@ -109,6 +110,27 @@
   user.stream->close();
 }
 
+// The system gives none, whatever the program counts: that ends the connection and not the program.
+TEST(Stream, WithoutADescriptorLeftAConnectionIsRefused) {
+  Loop reactor;
+  Pump pump(reactor);
+  RawServer server(reactor);
+  // The sanitizer needs descriptors itself to look at an object of a kind that it has not met.
+  RawPeer met(reactor, numeric_address(server.address()));
+  ASSERT_TRUE(pump.until([&] { return server.peers.size() == 1; }));
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int next = dup(0);
+  close(next);
+  const rlimit none{static_cast<rlim_t>(next), before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &none);
+  std::unique_ptr<RawPeer> opened;
+  EXPECT_NO_THROW(opened = std::make_unique<RawPeer>(reactor, numeric_address(server.address())));
+  setrlimit(RLIMIT_NOFILE, &before);
+  ASSERT_NE(opened, nullptr);
+  EXPECT_TRUE(pump.until([&] { return opened->ended; }));
+}
+
 // Bytes on connections that came to us and on ones that we opened, and an alarm that is due, all stand there
 // before the loop turns; many of each, so that no order by chance passes.
 TEST(Turn, WhatCameToUsIsReadFirstThenWhatWeOpenedThenAlarmsRing) {
@@ -139,5 +161,28 @@
   EXPECT_EQ(order, "ccccccccooooooooa");
 }
 
+// More connections can be read than the system tells of at once.
+TEST(Turn, HoweverManyCameToUsAllAreReadBeforeWhatWeOpened) {
+  constexpr int many = 1'500;  // the system tells of 1,024
+  Loop reactor;
+  Pump pump(reactor);
+  RawServer server(reactor);
+  std::string order;
+  Poco::Net::ServerSocket partner(numeric_address("127.0.0.1:0"));
+  std::vector<std::unique_ptr<Visitor>> callers;
+  RawPeer opened(reactor, partner.address());
+  opened.on_bytes = [&] { order += 'o'; };
+  Poco::Net::StreamSocket called = partner.acceptConnection();
+  for (int i = 0; i < many; ++i)
+    callers.push_back(std::make_unique<Visitor>(numeric_address(server.address())));
+  server.on_bytes = [&](RawPeer&) { order += 'c'; };
+  ASSERT_TRUE(pump.until([&] { return server.peers.size() == many; }));
+  pump.pass(200);
+  called.sendBytes("x", 1);
+  for (const auto& caller : callers) caller->send("x");
+  ASSERT_TRUE(pump.until([&] { return order.size() == many + 1; }));
+  EXPECT_EQ(order.find('o'), static_cast<std::size_t>(many));
+}
+
 }  // namespace
 }  // namespace rushhill::transport
