A router on the platform counts its descriptors; discovery and new work keep theirs

Seen: with idle clients, half requests and slow readers at all it may have, a router took no new client (an idle connection went only after 0.2 s of quiet, half a request and an unread answer never), and where fewer descriptors were left than the configuration says (the system permits less, or some were inherited) the next connection to discovery ended the program: the socket was made outside what catches its failure. Ruled out: the listener spinning (it rests). At fault: the shares of 44 and 42 in 100 of what is told, `FastCgiFront::make_room`, `Loop::connect`.

Change: what is open at the start is counted and the system's limit asked; five descriptors are kept (listener, discovery, peers, the file on SIGHUP, a client that is refused), the rest is halved between clients and servers. No descriptor left is a loss of its own kind, and an attempt that fails for it, or for the bound of the pool, ends as not sent: it says nothing of the server, where it looked like the server's death.

--- a/src/carrying/line_pool.cpp
+++ b/src/carrying/line_pool.cpp
@@ -161,6 +161,7 @@
   }
 
   void lost(Loss why) override {
+    if (why == Loss::exhausted) return fail(Ending::not_sent, false);  // ours, and says nothing of the server
     fail(why == Loss::refused ? Ending::no_connection : Ending::connection_lost, true);
   }
 
@@ -213,7 +214,7 @@
         const ServerId id = exchange.server;
         pool_.start(id, std::move(exchange));
       } else {
-        pool_.end(exchange, untouched ? Ending::no_connection : ending);
+        pool_.end(exchange, untouched && ending != Ending::not_sent ? Ending::no_connection : ending);
       }
     }
   }
@@ -327,7 +328,7 @@
   if (it == servers_.end() || !it->second->address)
     return fail_soon(std::move(exchange), Ending::no_connection);
   Link* link = link_for(*it->second, exchange);
-  if (link == nullptr) return fail_soon(std::move(exchange), Ending::no_connection);
+  if (link == nullptr) return fail_soon(std::move(exchange), Ending::not_sent);
   link->use(std::move(exchange));
 }
 
--- a/src/command/node.cpp
+++ b/src/command/node.cpp
@@ -9,6 +9,7 @@
 
 #include "log/diary.h"
 #include "node/node.h"
+#include "transport/descriptors.h"
 #include "transport/loop.h"
 
 namespace rushhill::command {
@@ -40,9 +41,10 @@
   const char* path = std::getenv("PROXY_CONFIG");
   if (path == nullptr)
     throw std::invalid_argument("PROXY_CONFIG is not set: it names the configuration file");
-  const node::Configuration told = read_file(path);
+  node::Configuration told = read_file(path);
   log::Diary diary(log::Form::people, core::Level::info, told.name.empty() ? "node" : told.name);
   transport::Loop reactor;
+  told.sockets = transport::descriptors_left(told.sockets);
   node::Node router(reactor, told, diary);
   reactor.every_turn([&] {
     if (asked_to_end != 0) router.wind_up([&] { reactor.halt(); });
--- a/src/fronts/fastcgi_front.cpp
+++ b/src/fronts/fastcgi_front.cpp
@@ -20,7 +20,7 @@
 constexpr Time whole_within = 20'000;  // from a request's first byte to its last; a bad client is owed 3 s
 constexpr Time first_within = 20'000;  // from connecting to the first whole request, likewise
 constexpr Time idle_limit = 100'000;   // between requests; clients close after 4 s themselves
-constexpr Time settled = 2'000;        // an idle connection may be closed for another's sake from then on
+constexpr Time settled = 2'000;        // for a client to leave once it has its last answer
 constexpr Time way_back = 10;          // from our answer to the client's reading it, taken off its time
 constexpr Time rounding = 10;          // a limit told in whole milliseconds may be that much above ours
 constexpr std::size_t id_digits = 16;
@@ -158,12 +158,17 @@
     }
   }
 
-  bool spare(Time now) const {
-    return open_.empty() && !reader_.unfinished_since() && stream_->waiting() == 0 &&
-           now - quiet_since_ >= settled;
+  // For another's sake it may go, but not while an answer is owed.
+  std::optional<Rank> holds(Time now) const {
+    if (!open_.empty() || !come_.empty()) return std::nullopt;
+    if (stream_->waiting() > 0) return Rank{Holding::unread_answer, quiet_since_};
+    const auto half_since = reader_.unfinished_since();
+    if (asked_ && !half_since) return Rank{Holding::idle, quiet_since_};
+    const Time since = half_since.value_or(quiet_since_);
+    if (now - since < come_for) return Rank{Holding::just_come, since};
+    return Rank{half_since ? Holding::half_request : Holding::nothing, since};
   }
-  Time quiet_since() const { return quiet_since_; }
-  bool silent() const { return !asked_; }
+  bool untouched() const { return stream_->ahead() == Stream::Ahead::nothing; }
   bool all_sent() const {
     return stream_->waiting() == 0 && !reader_.unfinished_since() && stream_->ahead() != Stream::Ahead::bytes;
   }
@@ -350,11 +355,15 @@
 transport::Address FastCgiFront::listen(const transport::Address& address) {
   listener_ = std::make_unique<transport::Listener>(reactor_, address, false,
                                                     [this](const auto& arrival) { accept(arrival); });
+  listener_->take_where([this] {
+    return eviction_.room(connections_, rules_.connections, reactor_.now(),
+                          [this](Connection& connection) { forget(connection); });
+  });
   return listener_->address();
 }
 
 void FastCgiFront::accept(const transport::Arrival& arrival) {
-  if (connections_.size() >= rules_.connections && !make_room()) {
+  if (connections_.size() >= rules_.connections) {
     diary_.line(core::Level::warning, "connection refused: too many", {});
     return arrival.refuse();
   }
@@ -362,19 +371,6 @@
   connections_.emplace(connection.get(), connection);
 }
 
-// Closes the connection that has been quiet longest, one that never asked before all others.
-bool FastCgiFront::make_room() {
-  const Time now = reactor_.now();
-  Connection* longest = nullptr;
-  for (const auto& [connection, held] : connections_) {
-    if (!connection->spare(now)) continue;
-    const auto order = [](const Connection& one) { return std::pair(!one.silent(), one.quiet_since()); };
-    if (longest == nullptr || order(*connection) < order(*longest)) longest = connection;
-  }
-  if (longest != nullptr) forget(*longest);
-  return longest != nullptr;
-}
-
 void FastCgiFront::forget(Connection& connection) {
   const auto it = connections_.find(&connection);
   if (it == connections_.end()) return;
--- a/src/fronts/fastcgi_front.h
+++ b/src/fronts/fastcgi_front.h
@@ -9,6 +9,7 @@
 
 #include "core/gateway.h"
 #include "fastcgi/records.h"
+#include "fronts/eviction.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
 
@@ -50,7 +51,6 @@
  private:
   class Connection;
   void accept(const transport::Arrival& arrival);
-  bool make_room();
   void forget(Connection& connection);
   void sweep();
 
@@ -62,6 +62,7 @@
   bool ready_ = false;
   std::unique_ptr<transport::Listener> listener_;
   std::map<Connection*, std::shared_ptr<Connection>, transport::ByNumber> connections_;
+  Eviction<Connection> eviction_;
   std::set<std::string> open_ids_;
   core::Alarm alarm_;
 };
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -15,7 +15,7 @@
   std::string name{};
   std::string listen{};  // addresses in digits, with ports
   std::uint64_t seed = 0;
-  std::size_t sockets = 0;    // descriptors
+  std::size_t sockets = 0;    // descriptors, all in all
   std::size_t memory_mb = 0;  // 0: not told
   std::string peer_listen{};
   std::vector<std::string> peers{};  // by router number, our own among them
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,9 +16,9 @@
 constexpr Time last_answers = 1'000;  // for answers to leave to clients that are slow to read, then no more
 constexpr Time leave_taking = 1'000;  // for clients to see that we have ended, and to end too
 
-// Of the descriptors told: what clients hold, what goes to servers; the rest is for listening, board, peers,
-// log, and for connections on their way out.
-constexpr double client_part = 0.44, server_part = 0.42;
+// Descriptors that no client and no server gets: the listener's, the board's, the peers', the file that is
+// read on SIGHUP, and a connection's that is taken to be refused. The log's is open before any is counted.
+constexpr std::size_t reserve = 5;
 
 constexpr double idle_part = 0.66;  // of the time after which servers close: ours close before
 
@@ -27,17 +27,13 @@
   void tell(int, const std::string&) override {}
 } no_peers;
 
-std::size_t part_of(std::size_t sockets, double part) {
-  return static_cast<std::size_t>(static_cast<double>(sockets) * part);
-}
-
 }  // namespace
 
 Node::Node(transport::Reactor& reactor, const Configuration& told, core::Diary& diary)
-    : reactor_(reactor), diary_(diary),
+    : reactor_(reactor), diary_(diary), shares_(transport::share_descriptors(told.sockets, reserve)),
       pool_(reactor,
             {.shots_a_connection = std::max(told.module.shots_a_connection, 1),
-             .connections = part_of(told.sockets, server_part),
+             .connections = shares_.servers,
              .connect_limit = told.module.connect_limit > 0 ? told.module.connect_limit : 2'500,
              .idle = static_cast<Time>(static_cast<double>(told.module.connection_idle) * idle_part),
              .reports = told.module.reports != "" && told.module.reports != "none"},
@@ -60,7 +56,7 @@
                 .peers = peers_ ? static_cast<core::Peers&>(*peers_) : no_peers,
                 .roster = *board_,
                 .diary = diary}),
-      front_(reactor, gateway_, diary, {.connections = part_of(told.sockets, client_part)}) {
+      front_(reactor, gateway_, diary, {.connections = shares_.clients}) {
   pool_.report_to(gateway_);
   const membership::Known known =
       membership::read_known(told::Fields(told.known, "known"), membership::wall_offset_now(reactor));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,12 +11,13 @@
 #include "membership/board_client.h"
 #include "node/configuration.h"
 #include "transport/bare_peers.h"
+#include "transport/descriptors.h"
 
 namespace rushhill::node {
 
 class Node {
  public:
-  // Listens at once; throws where an address cannot be had.
+  // Listens at once; throws where an address cannot be had. `told.sockets`: descriptors that are free for it.
   Node(transport::Reactor& reactor, const Configuration& told, core::Diary& diary);
   ~Node();
   Node(const Node&) = delete;
@@ -38,6 +39,7 @@
 
   transport::Reactor& reactor_;
   core::Diary& diary_;
+  transport::DescriptorShares shares_;
   carrying::LinePool pool_;
   std::unique_ptr<transport::BarePeers> peers_;
   std::unique_ptr<membership::BoardClient> board_;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/SocketImpl.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -24,7 +25,7 @@
 constexpr Time longest_sleep = 1000;  // tenths of a millisecond; a signal's flag is seen within that
 constexpr int accepted_at_once = 64;  // connections a turn, so that open ones get their part
 constexpr int heard_at_once = 64;     // datagrams a turn, likewise
-constexpr Time accept_rest = 100;     // tenths of a millisecond, when the process has no descriptor left
+constexpr Time accept_rest = 100;     // tenths of a millisecond, when there is no room or no descriptor left
 constexpr std::size_t most_datagram = 2048;  // bytes; far above what peers may send
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
@@ -188,15 +189,18 @@
   void take_all() override {
     while (take()) {}
   }
+  void take_where(std::function<bool()> room) override { room_ = std::move(room); }
 
  private:
   bool take();
+  void rest();
   void wait(bool on) { reactor_.wait_for(socket_, *this, on, false); }
   void on_readable() override;
 
   Loop& reactor_;
   net::ServerSocket socket_;
   Accepted accepted_;
+  std::function<bool()> room_;
   core::Alarm rest_;
 };
 
@@ -225,7 +229,7 @@
 }
 
 std::shared_ptr<Stream> Loop::connect(const Address& address, StreamUser& user) {
-  const auto stream = std::make_shared<SocketStream>(*this, net::StreamSocket(address.family()), user);
+  const auto stream = std::make_shared<SocketStream>(*this, net::StreamSocket(), user);
   stream->connect(address);
   return stream;
 }
@@ -253,13 +257,15 @@
 }
 std::unique_ptr<Place> Loop::hold(const Address& address) { return std::make_unique<HeldPort>(address); }
 
+// The socket is made here: what fails for want of a descriptor is a loss like any other, and its own kind.
 void Loop::SocketStream::connect(const Address& address) {
   try {
     socket_.connectNB(address);
     socket_.setNoDelay(true);
     want_writable(true);
   } catch (const Poco::Exception&) {
-    reactor_.soon([self = shared_from_this()] { self->lose(Loss::refused); });
+    const Loss why = descriptor(socket_) == POCO_INVALID_SOCKET ? Loss::exhausted : Loss::refused;
+    reactor_.soon([self = shared_from_this(), why] { self->lose(why); });
   }
 }
 void Loop::SocketStream::establish() {
@@ -390,14 +396,23 @@
   for (int i = 0; i < accepted_at_once && take(); ++i) {}
 }
 
+// What cannot be taken now stays in the queue: a rest instead of spinning on it.
+void Loop::SocketListener::rest() {
+  wait(false);
+  reactor_.withdraw(rest_);
+  rest_ = reactor_.at(reactor_.now() + accept_rest, [this] { wait(true); });
+}
+
 bool Loop::SocketListener::take() {
+  if (room_) {
+    pollfd queue{.fd = descriptor(socket_), .events = POLLIN, .revents = 0};
+    if (::poll(&queue, 1, 0) != 1) return false;  // no room is made for nobody
+    if (!room_()) return rest(), false;
+  }
   const int fd = ::accept4(descriptor(socket_), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd < 0) {
     if (would_block(errno) || errno == ECONNABORTED) return false;
-    // No descriptor left: rest a little instead of spinning on what cannot be taken.
-    wait(false);
-    rest_ = reactor_.at(reactor_.now() + accept_rest, [this] { wait(true); });
-    return false;
+    return rest(), false;  // no descriptor left
   }
   accepted_(SocketArrival(net::StreamSocket(new net::StreamSocketImpl(fd))));
   return true;
--- a/src/transport/reactor.h
+++ b/src/transport/reactor.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "core/clockwork.h"
 
@@ -22,7 +23,8 @@
 // The machine's monotonic clock, the same for all processes, in nanoseconds.
 std::int64_t monotonic_ns();
 
-enum class Loss { refused, ended, broken };  // never established; ended by the peer; reset or failed
+// Never established; ended by the peer; reset or failed; never begun, since no descriptor is left.
+enum class Loss { refused, ended, broken, exhausted };
 
 class StreamUser {
  public:
@@ -81,7 +83,8 @@
   virtual ~Place() = default;
   virtual Address address() const = 0;
   virtual bool send(const Address&, std::string_view) { return false; }  // datagrams only
-  virtual void take_all() {}  // a listener: all that has come, before it goes
+  virtual void take_all() {}                         // a listener: all that has come, before it goes
+  virtual void take_where(std::function<bool()>) {}  // a listener: each only if this holds then
 };
 
 using Accepted = std::function<void(const Arrival&)>;
@@ -117,6 +120,8 @@
   Address address() const { return place_->address(); }
   // Every connection that stands in the queue: what is left there when the listener goes is reset.
   void take_all() { place_->take_all(); }
+  // Asked before each is taken; where it says no, what has come stands in the queue and is looked at again.
+  void take_where(std::function<bool()> room) { place_->take_where(std::move(room)); }
 
  private:
   std::unique_ptr<Place> place_;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -116,8 +116,8 @@
 // A listener whose connections a story handles by hand.
 class RawServer {
  public:
-  explicit RawServer(transport::Reactor& reactor)
-      : listener(reactor, transport::numeric_address("127.0.0.1:0"), false,
+  explicit RawServer(transport::Reactor& reactor, const std::string& at = "127.0.0.1:0")
+      : listener(reactor, transport::numeric_address(at), false,
                  [this, &reactor](const transport::Arrival& arrival) {
                    peers.push_back(std::make_unique<RawPeer>(reactor, arrival));
                    RawPeer& peer = *peers.back();
