serve counts its descriptors too: roster, broker, other routers and the list keep theirs

Seen: clients, and strangers at the door for other routers, took every descriptor of `rushhill serve`; the next try at the roster then ended the program. Bounds there were only as told (20,000 clients, 256 connections to each server, 256 links), none of them held against what the system permits, and a new client was refused while others sat idle. Ruled out: the list's file and the broker, which fail softly.

Change: what is open at the start is counted; listeners, roster, a connection for each topic, links (three times those a router has of its own), a file and a refused client are kept, the rest is halved between clients and servers. Clients go as on the platform; the server pool closes its longest idle, and at the bound an attempt ends as not sent. Of those who come to the routers' door, the first that has not said who it is makes room.

--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -7,6 +7,7 @@
 
 #include "log/diary.h"
 #include "router/router_process.h"
+#include "transport/descriptors.h"
 #include "transport/loop.h"
 
 namespace rushhill::command {
@@ -26,7 +27,9 @@
   const std::uint64_t seed =
       program.seed != 0 ? program.seed : static_cast<std::uint64_t>(std::random_device{}()) << 20U;
   transport::Loop reactor;
-  router::RouterProcess router(reactor, program, seed, diary);
+  deployment::Program counted = program;
+  counted.descriptors = transport::descriptors_left(0);
+  router::RouterProcess router(reactor, counted, seed, diary);
   std::cout << "ready " << router.address().toString() << std::endl;
   reactor.every_turn([&] {
     if (asked_to_end != 0) router.wind_up([&] { reactor.halt(); });
--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -58,7 +58,8 @@
                                     public core::Client {
  public:
   Connection(HttpFront& front, const transport::Arrival& arrival)
-      : front_(front), reactor_(front.reactor_), reader_({.body = front.rules_.body}) {
+      : front_(front), reactor_(front.reactor_), reader_({.body = front.rules_.body}),
+        since_(reactor_.now()) {
     stream_ = transport::Stream::adopt(reactor_, arrival, *this);
     set_alarm(front.rules_.idle);
   }
@@ -112,6 +113,18 @@
                 0);
   }
 
+  // For another's sake it may go, but not while an answer is owed.
+  std::optional<Rank> holds(Time now) const {
+    if (answering_) return std::nullopt;
+    if (stream_->waiting() > 0) return Rank{Holding::unread_answer, since_};
+    if (asked_ && !begun_) return Rank{Holding::idle, since_};
+    if (now - since_ < come_for) return Rank{Holding::just_come, since_};
+    return Rank{begun_ ? Holding::half_request : Holding::nothing, since_};
+  }
+  bool untouched() const {
+    return (begun_ || in_.empty()) && stream_->ahead() == transport::Stream::Ahead::nothing;
+  }
+
   // The front stops: an idle connection goes now, one at work after its answer.
   void wind_up() {
     if (!answering_ && !closing_ && in_.empty()) close_after();
@@ -130,7 +143,10 @@
 
   void proceed() {
     if (answering_ || closing_ || in_.empty()) return;
-    if (!std::exchange(begun_, true)) set_alarm(front_.rules_.request_within);
+    if (!std::exchange(begun_, true)) {
+      since_ = reactor_.now();
+      set_alarm(front_.rules_.request_within);
+    }
     switch (reader_.put(in_)) {
       case HttpProgress::more:
         if (!std::exchange(told_to_continue_, told_to_continue_ || reader_.wants_continue()) &&
@@ -150,7 +166,7 @@
     }
     reactor_.withdraw(alarm_);
     begun_ = told_to_continue_ = false;
-    answering_ = true;
+    asked_ = answering_ = true;
     const HttpRequest request = reader_.take();
     keep_alive_ = request.keep_alive;
     take(request);
@@ -256,7 +272,8 @@
     keep_alive_ = keep_alive_ && !front_.winding_up_;
     response.keep_alive = keep_alive_;
     stream_->write(transport::to_bytes(response));
-    answering_ = false;
+    answering_ = begun_ = false;
+    since_ = reactor_.now();
     if (!keep_alive_) return close_after();
     // A client that does not read its answer is not waited for longer than one that does not send.
     set_alarm(stream_->waiting() > 0 ? front_.rules_.request_within : front_.rules_.idle);
@@ -270,6 +287,7 @@
 
   // The next request, when what runs now has returned.
   void next() {
+    since_ = reactor_.now();
     stream_->read(true);
     set_alarm(front_.rules_.idle);
     if (in_.empty()) return;
@@ -295,6 +313,8 @@
   Json rows_;
   core::Alarm alarm_;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
+  Time since_;              // it is as it is
+  bool asked_ = false;      // a whole request has come
   bool begun_ = false;      // a part of a request has come
   bool answering_ = false;  // a whole one has come and is not answered yet
   bool batch_ = false, keep_alive_ = true, closing_ = false, told_to_continue_ = false;
@@ -311,11 +331,18 @@
 transport::Address HttpFront::listen(const transport::Address& address, bool shared) {
   listener_ = std::make_unique<transport::Listener>(reactor_, address, shared,
                                                     [this](const auto& arrival) { accept(arrival); });
-  return listener_->address();
+  return listening();
 }
 transport::Address HttpFront::listen_inherited(int descriptor) {
   listener_ = std::make_unique<transport::Listener>(reactor_, descriptor,
                                                     [this](const auto& arrival) { accept(arrival); });
+  return listening();
+}
+transport::Address HttpFront::listening() {
+  listener_->take_where([this] {
+    return eviction_.room(connections_, static_cast<std::size_t>(rules_.connections), reactor_.now(),
+                          [this](Connection& connection) { forget(connection); });
+  });
   return listener_->address();
 }
 
--- a/src/fronts/http_front.h
+++ b/src/fronts/http_front.h
@@ -9,6 +9,7 @@
 
 #include "core/gateway.h"
 #include "core/intake.h"
+#include "fronts/eviction.h"
 #include "transport/http.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
@@ -45,6 +46,7 @@
 
  private:
   class Connection;
+  transport::Address listening();
   void accept(const transport::Arrival& arrival);
   void forget(Connection& connection);
 
@@ -58,6 +60,7 @@
   std::function<std::string()> standing_;
   std::unique_ptr<transport::Listener> listener_;
   std::map<Connection*, std::shared_ptr<Connection>, transport::ByNumber> connections_;
+  Eviction<Connection> eviction_;
 };
 
 }  // namespace rushhill::fronts
--- a/src/replicating/replica_links.cpp
+++ b/src/replicating/replica_links.cpp
@@ -1,6 +1,7 @@
 #include "replicating/replica_links.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include "replica/neighbours.h"
@@ -11,16 +12,20 @@
 using core::Level;
 using transport::Stream;
 
-constexpr Time turn_every = 100;         // tenths of a millisecond; what is learnt is passed on within that
-constexpr Time look_every = 1'000;       // between looks for neighbours that are not linked
-constexpr Time hello_within = 20'000;    // from connecting; a router that takes longer is stalled
-constexpr Time first_pause = 5'000;      // after a way that failed; doubles while it goes on failing
-constexpr Time longest_pause = 80'000;   // a router that is back is met within that
-constexpr int silent_points = 3;         // times the span between points; so long silent is stalled
-constexpr std::size_t most_links = 256;  // far above twice the logarithm of any fleet
+constexpr Time turn_every = 100;        // tenths of a millisecond; what is learnt is passed on within that
+constexpr Time look_every = 1'000;      // between looks for neighbours that are not linked
+constexpr Time hello_within = 20'000;   // from connecting; a router that takes longer is stalled
+constexpr Time first_pause = 5'000;     // after a way that failed; doubles while it goes on failing
+constexpr Time longest_pause = 80'000;  // a router that is back is met within that
+constexpr int silent_points = 3;        // times the span between points; so long silent is stalled
 
 }  // namespace
 
+std::size_t most_links(int routers, bool everybody) {
+  const auto all = static_cast<unsigned>(std::max(routers, 1));
+  return 3 * (everybody ? all : static_cast<std::size_t>(std::bit_width(all)));
+}
+
 class ReplicaLinks::Link final : public transport::StreamUser,
                                  public replica::Line,
                                  public transport::Numbered {
@@ -91,11 +96,21 @@
 ReplicaLinks::~ReplicaLinks() { reactor_.withdraw(alarm_); }
 
 void ReplicaLinks::accept(const transport::Arrival& arrival) {
-  if (links_.size() >= most_links) return arrival.refuse();
+  const auto came = std::ranges::count_if(links_, [](const auto& item) { return item.first->dialled() < 0; });
+  if (static_cast<std::size_t>(came) >= ways_.most_links * 2 / 3 && !make_room()) return arrival.refuse();
   const auto link = std::make_shared<Link>(*this, arrival);
   links_.emplace(link.get(), link);
 }
 
+// Whoever came to us first and has not said who it is makes room: a router does so at once.
+bool ReplicaLinks::make_room() {
+  const auto unknown = std::ranges::find_if(
+      links_, [](const auto& item) { return item.first->dialled() < 0 && !item.first->talk().greeted(); });
+  if (unknown == links_.end()) return false;
+  end(*unknown->first, "");
+  return true;
+}
+
 void ReplicaLinks::written() {
   if (std::exchange(telling_soon_, true)) return;
   reactor_.soon([this, alive = std::weak_ptr(life_)] {
@@ -133,7 +148,7 @@
   }
   there.erase(ways_.hello.writer.router);
   for (const int router : ways_.everybody ? there : replica::neighbours(ways_.hello.writer.router, there)) {
-    if (linked_to(router) || links_.size() >= most_links) continue;
+    if (linked_to(router) || links_.size() >= ways_.most_links) continue;
     const auto link = std::make_shared<Link>(
         *this, router, transport::numeric_address(ways_.addresses[static_cast<std::size_t>(router)]));
     links_.emplace(link.get(), link);
--- a/src/replicating/replica_links.h
+++ b/src/replicating/replica_links.h
@@ -23,9 +23,14 @@
   replica::Hello hello{};                // who we are
   replica::Pace pace{};
   bool everybody = false;            // asked, not some neighbours only: for few routers
+  std::size_t most_links = 256;      // two in three of them for routers that come to us
   std::function<void()> heard = {};  // another has told something; may be empty
 };
 
+// As many links as a router has of its own, twice over from those that have it for a neighbour: one that
+// comes back may stand beside its earlier self.
+std::size_t most_links(int routers, bool everybody);
+
 class ReplicaLinks {
  public:
   // Listens at once; throws where an address cannot be had.
@@ -60,6 +65,7 @@
   };
 
   void accept(const transport::Arrival& arrival);
+  bool make_room();
   void turn();
   void look(Time now);
   void end(Link& link, const std::string& why);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <functional>
@@ -9,6 +10,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "transport/descriptors.h"
+
 namespace rushhill::router {
 namespace {
 
@@ -43,6 +46,27 @@
   }
 }
 
+// Descriptors that no client and no server gets: the listeners', the roster's, the broker's for each topic,
+// the links' between routers, the file's of the remembered list or of the counts, and one of a client that is
+// refused. The log's is open before any is counted.
+std::size_t reserve(const deployment::Program& program) {
+  constexpr std::size_t listener_file_and_refused = 3;
+  const bool links = !program.replica.listen.empty();
+  return listener_file_and_refused + (program.module.peers ? 1 : 0) +
+         (program.roster.address.empty() ? 0 : 1) +
+         (program.mqtt.address.empty() ? 0 : program.mqtt.topics.size()) +
+         (links ? 2 + most_links_of(program) : 0);
+}
+transport::DescriptorShares shares_of(const deployment::Program& program) {
+  if (program.descriptors == 0) return {};
+  return transport::share_descriptors(program.descriptors, reserve(program));
+}
+deployment::Program bounded(deployment::Program program) {
+  const auto clients = static_cast<int>(std::min<std::size_t>(shares_of(program).clients, 1'000'000));
+  if (clients > 0) program.http.connections = std::min(program.http.connections, clients);
+  return program;
+}
+
 double seconds(const timeval& of) {
   return static_cast<double>(of.tv_sec) + static_cast<double>(of.tv_usec) / 1e6;
 }
@@ -51,14 +75,15 @@
 
 RouterProcess::RouterProcess(transport::Reactor& reactor, const deployment::Program& program,
                              std::uint64_t seed, core::Diary& diary)
-    : reactor_(reactor), program_(program), diary_(diary),
-      pool_(reactor,
-            {.router = program.module.me,
-             .connections = program.links.connections,
-             .connect_limit = program.module.connect_limit,
-             .idle = program.module.connection_idle,
-             .reply = program.links.reply},
-            diary),
+    : reactor_(reactor), program_(bounded(program)), server_connections_(shares_of(program).servers),
+      diary_(diary), pool_(reactor,
+                           {.router = program.module.me,
+                            .connections = program.links.connections,
+                            .total = server_connections_,
+                            .connect_limit = program.module.connect_limit,
+                            .idle = program.module.connection_idle,
+                            .reply = program.links.reply},
+                           diary),
       peers_(!program.module.peers
                  ? nullptr
                  : std::make_unique<transport::PeerLinks>(
@@ -88,7 +113,7 @@
                 .ledger = shared_.get()}),
       intake_(program.module, program.type_of_event),
       front_(reactor, gateway_, intake_, diary,
-             {.connections = program.http.connections,
+             {.connections = program_.http.connections,
               .body = program.http.body,
               .batch = program.http.batch,
               .request_within = program.http.head_within,
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -44,7 +44,8 @@
   void wait_for_end(const std::function<void()>& ended);
 
   transport::Reactor& reactor_;
-  const deployment::Program program_;
+  const deployment::Program program_;     // with no more connections than there are descriptors for
+  const std::size_t server_connections_;  // 0: no bound
   core::Diary& diary_;
   transport::ServerPool pool_;
   std::unique_ptr<transport::PeerLinks> peers_;
--- a/src/router/shared_state.cpp
+++ b/src/router/shared_state.cpp
@@ -51,6 +51,11 @@
 
 }  // namespace
 
+std::size_t most_links_of(const deployment::Program& program) {
+  const int routers = program.module.routers;
+  return replicating::most_links(routers, routers <= replica::most_meeting);
+}
+
 SharedState::SharedState(transport::Reactor& reactor, const deployment::Program& program, std::uint64_t seed,
                          core::Diary& diary, RationKnown known, Marked marked)
     : reactor_(reactor), diary_(diary), told_(program.replica), routers_(program.module.routers),
@@ -65,6 +70,7 @@
                         .name = "router-" + std::to_string(program.module.me),
                         .writer = copy_.me()},
               .everybody = routers_ <= replica::most_meeting,
+              .most_links = most_links_of(program),
               .heard = [this] { marks_.heard(); }},
              copy_, diary) {
   ration_known_ = window_ <= 0;
--- a/src/router/shared_state.h
+++ b/src/router/shared_state.h
@@ -14,6 +14,9 @@
 
 namespace rushhill::router {
 
+// Links to and from other routers, at most.
+std::size_t most_links_of(const deployment::Program& program);
+
 class SharedState final : public core::Ledger, replica::Findings, replica::Taker {
  public:
   using RationKnown = std::function<void(double orders)>;
--- a/src/transport/server_pool.cpp
+++ b/src/transport/server_pool.cpp
@@ -163,6 +163,11 @@
     exchange_ = std::move(exchange);
     send();
   }
+  Time idle_since() const { return idle_since_; }
+  void close() {
+    withdraw();
+    if (stream_) stream_->close();
+  }
   bool sound() { return !stream_->closed() && stream_->ahead() == Stream::Ahead::nothing; }
   void retire() { reusable_ = false; }  // its address is no longer the server's
   Server& server() { return server_; }
@@ -194,6 +199,7 @@
 
   void lost(Loss why) override {
     if (!exchange_) return pool_.forget(*this);
+    if (why == Loss::exhausted) return fail(Ending::not_sent);  // ours, and says nothing of the server
     // Only where the system took no byte of it is it certain that nothing was begun.
     if (why == Loss::refused || stream_->handed_over() == sent_before_) return fail(Ending::no_connection);
     if (why == Loss::ended && reader_.end() == HttpProgress::done) {
@@ -222,6 +228,7 @@
     if (exchange.kind == Exchange::Kind::shot) pool_.shots_.erase({exchange.event, exchange.leg});
     if (reuse) {
       server_.idle.push_back(this);
+      idle_since_ = reactor_.now();
       alarm_ = reactor_.at(reactor_.now() + pool_.bounds_.idle, [this] { pool_.forget(*this); });
     } else {
       pool_.forget(*this);
@@ -248,6 +255,7 @@
   std::string in_;
   std::size_t sent_before_ = 0;
   core::Alarm alarm_;
+  Time idle_since_ = 0;
   bool reusable_ = true;
 };
 
@@ -255,12 +263,6 @@
     : reactor_(reactor), bounds_(bounds), diary_(diary) {}
 ServerPool::~ServerPool() = default;
 
-std::size_t ServerPool::connections() const {
-  std::size_t count = 0;
-  for (const auto& [id, server] : servers_) count += server->links.size();
-  return count;
-}
-
 std::shared_ptr<ServerPool::Link> ServerPool::hold(Link& link) {
   const auto it = link.server().links.find(&link);
   return it == link.server().links.end() ? nullptr : it->second;
@@ -276,6 +278,8 @@
   std::erase(server.idle, &link);
   const auto it = server.links.find(&link);
   if (it == server.links.end()) return;
+  it->second->close();
+  --connections_;
   // It may be the one that is calling: it goes when that call has returned.
   reactor_.soon([this, gone = it->second, id = server.id, alive = std::weak_ptr(life_)] {
     if (!alive.expired()) drop_if_unused(id);
@@ -332,20 +336,35 @@
     if (shot) shots_[key] = link;
     return link->use(std::move(exchange));
   }
-  const bool room = server != nullptr && server->address &&
-                    server->links.size() < static_cast<std::size_t>(bounds_.connections);
-  if (!room) {
+  const bool permitted = server != nullptr && server->address &&
+                         server->links.size() < static_cast<std::size_t>(bounds_.connections);
+  if (!permitted || (bounds_.total > 0 && connections_ >= bounds_.total && !make_room())) {
     auto refused = std::make_shared<Exchange>(std::move(exchange));
-    return reactor_.soon([this, refused, alive = std::weak_ptr(life_)] {
-      if (!alive.expired()) end(*refused, nullptr, Ending::no_connection);
+    // The bound of all together says nothing of the server.
+    const Ending ending = permitted ? Ending::not_sent : Ending::no_connection;
+    return reactor_.soon([this, refused, ending, alive = std::weak_ptr(life_)] {
+      if (!alive.expired()) end(*refused, nullptr, ending);
     });
   }
+  ++connections_;
   const auto link = std::make_shared<Link>(*this, *server);
   server->links.emplace(link.get(), link);
   if (shot) shots_[key] = link.get();
   link->connect(std::move(exchange));
 }
 
+// Closes the connection that has been idle longest, whichever server's it is.
+bool ServerPool::make_room() {
+  Link* oldest = nullptr;
+  for (const auto& [id, server] : servers_) {
+    if (!server->idle.empty() &&
+        (oldest == nullptr || server->idle.front()->idle_since() < oldest->idle_since()))
+      oldest = server->idle.front();
+  }
+  if (oldest != nullptr) forget(*oldest);
+  return oldest != nullptr;
+}
+
 void ServerPool::shoot(const core::ShotCall& call) {
   HttpRequest request{.method = "POST", .target = "/", .headers = events::to_headers(call.message)};
   request.headers.emplace_back("host", call.server);
--- a/src/transport/server_pool.h
+++ b/src/transport/server_pool.h
@@ -18,6 +18,7 @@
 struct PoolBounds {
   int router = 0;           // told to servers, so that records can name the sender
   int connections = 256;    // to one server
+  std::size_t total = 0;    // to all of them together; 0: no bound
   Time connect_limit = 0;   // tenths of a millisecond
   Time idle = 0;            // likewise
   std::uint64_t reply = 0;  // bytes
@@ -47,7 +48,7 @@
   void close_idle(const ServerId& server) override;
   void reach(const ServerId& server, const std::string& address) override;
 
-  std::size_t connections() const;
+  std::size_t connections() const { return connections_; }
   // Where a server is reached now; empty: nowhere.
   std::string address(const ServerId& server) const;
 
@@ -64,6 +65,7 @@
 
   void start(const ServerId& server, Exchange exchange);
   void end(Exchange& exchange, HttpResponse* response, Ending otherwise);
+  bool make_room();
   void forget(Link& link);
   void drop_if_unused(const ServerId& id);
   static std::shared_ptr<Link> hold(Link& link);
@@ -74,6 +76,7 @@
   core::Carried* carried_ = nullptr;
   std::map<ServerId, std::unique_ptr<Server>> servers_;
   std::map<std::pair<EventId, int>, Link*> shots_;
+  std::size_t connections_ = 0;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);  // what was put off is void when the pool is gone
 };
 
--- a/tests/carrying/line_pool_test.cpp
+++ b/tests/carrying/line_pool_test.cpp
@@ -151,6 +151,13 @@
     EXPECT_EQ(shot.ending, shot.event == 4 ? Ending::error : Ending::connection_lost) << shot.event;
 }
 
+TEST_F(LineStory, WhereConnectionsAreShortAndAllAreFullAShotIsNotSent) {
+  for (EventId event = 1; event <= 7; ++event) shoot(event);
+  ASSERT_TRUE(ended(1));
+  EXPECT_EQ(ends.shots[0].event, 7);
+  EXPECT_EQ(ends.shots[0].ending, Ending::not_sent) << "it says nothing of the server";
+}
+
 TEST_F(LineStory, ARefusedConnectionProvesThatNothingRan) {
   pool.reach("a", "127.0.0.1:1");
   shoot(1);
--- a/tests/membership/roster_test.cpp
+++ b/tests/membership/roster_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "emulator/network.h"
 #include "loopback.h"
 #include "membership/roster_client.h"
 #include "transport/loop.h"
@@ -143,5 +144,24 @@
   EXPECT_EQ(heard.size(), 1U);
 }
 
+// Away for a minute, or there and not opening: it is asked again within 2 s of its return.
+TEST(RosterAway, HoweverLongItWasAwayItIsFollowedSoonAfterItsReturn) {
+  emulator::Network network{3};
+  Silent silent;
+  auto source = std::make_unique<RawServer>(network);
+  const std::string address = source->address();
+  RosterClient client(network, transport::numeric_address(address), 0, 5'000, 1, silent,
+                      [](RosterForm, const std::vector<core::RosterEntry>&) {});
+  client.follow(true);
+  network.run_until(network.now() + 1'000);
+  ASSERT_EQ(source->peers.size(), 1U);
+  source.reset();
+  network.run_until(network.now() + 600'000);
+  source = std::make_unique<RawServer>(network, address);
+  network.run_until(network.now() + 20'000);
+  ASSERT_EQ(source->peers.size(), 1U);
+  EXPECT_NE(source->peers[0]->seen.find("follow"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace rushhill::membership
--- a/tests/transport/server_pool_test.cpp
+++ b/tests/transport/server_pool_test.cpp
@@ -167,6 +167,27 @@
   EXPECT_EQ(pool.connections(), 4U);
 }
 
+TEST_F(PoolStory, BeyondWhatAllServersMayHaveTheLongestIdleGoesAndWhereNoneIsAShotIsNotSent) {
+  RawServer other(reactor);
+  ServerPool two(reactor,
+                 {.connections = 4, .total = 2, .connect_limit = 3'000, .idle = 100'000, .reply = 64 * 1024},
+                 silent);
+  two.report_to(ends);
+  two.reach("a", server.address());
+  two.reach("b", other.address());
+  server.on_bytes = [](RawPeer& peer) {
+    if (whole(peer.seen)) peer.stream->write(answer);
+  };
+  two.shoot({1, 0, "a", 10'000, message});
+  ASSERT_TRUE(ended(1));
+  for (EventId event = 2; event <= 4; ++event) two.shoot({event, 0, "b", 10'000, message});
+  ASSERT_TRUE(ended(2));
+  EXPECT_EQ(ends.events.back(), 4);
+  EXPECT_EQ(last(), Ending::not_sent) << "it says nothing of the server";
+  EXPECT_EQ(two.connections(), 2U);
+  ASSERT_TRUE(pump.until([&] { return server.peers[0]->ended && other.peers.size() == 2; }));
+}
+
 TEST_F(PoolStory, RefusalsAreToldApartAndInDoubtItMayHaveRun) {
   const std::vector<std::pair<std::string, Ending>> cases{
       {"503 X\r\nrushhill-never-ran: full", Ending::turned_away},
