A router starts beside its earlier self at the same addresses, and takes a list that comes slowly

Seen: started while the old process still ended, at the same port, the new one ended at once (`Address already in use`); the old one holds its listener for 0.8 s and the datagrams' port until it ends, some 3 s. A list of 4 MB was asked for twice: reading it took longer than the 1.5 s of silence that are borne, counted from before it was read; one that came slower than that in one line was never taken, since only whole lines counted as words. Ruled out: discovery that is down, silent, breaks off or does not open; the list in the configuration; thirty together: all sound. At fault: `FastCgiFront::listen` and `Loop::hear` (addresses not shared), `BoardClient::line` and `arrived`.

Change: the clients' address is shared with the earlier self, which takes its part until it closes; datagrams go to who came last. Silence is counted from when a line has been taken, and 64 KiB of a line within that time are no silence.

SilentBoard.ALineThatIsStillComing... asks for the slow list.

--- a/src/fronts/fastcgi_front.cpp
+++ b/src/fronts/fastcgi_front.cpp
@@ -353,7 +353,8 @@
 }
 
 transport::Address FastCgiFront::listen(const transport::Address& address) {
-  listener_ = std::make_unique<transport::Listener>(reactor_, address, false,
+  // Shared with the router's earlier self, which takes what comes to it until it has ended.
+  listener_ = std::make_unique<transport::Listener>(reactor_, address, true,
                                                     [this](const auto& arrival) { accept(arrival); });
   listener_->take_where([this] {
     return eviction_.room(connections_, rules_.connections, reactor_.now(),
--- a/src/membership/board_client.cpp
+++ b/src/membership/board_client.cpp
@@ -11,8 +11,9 @@
 constexpr std::size_t longest_line = 4 * 1024 * 1024;  // bytes; some 20,000 servers
 constexpr std::size_t shown = 120;                     // bytes of a line that cannot be read
 constexpr Time beat_limit = 15'000;  // tenths of a millisecond; a line comes each second; two silences in 4 s
-constexpr Time open_limit = 5'000;   // likewise; a board that does not open is tried again
-constexpr Time first_pause = 300;    // before the next try; doubled up to
+constexpr std::size_t progress = 64 * 1024;  // bytes of a line within that time, which is no silence either
+constexpr Time open_limit = 5'000;           // likewise; a board that does not open is tried again
+constexpr Time first_pause = 300;            // before the next try; doubled up to
 constexpr Time longest_pause = 4'800;  // which leaves several tries in the 2 s after which news count as told
 
 }  // namespace
@@ -45,6 +46,7 @@
 
 void BoardClient::connect() {
   in_.clear();
+  counted_ = 0;
   stream_ = transport::Stream::connect(reactor_, address_, *this);
   silent_after(open_limit);
 }
@@ -72,13 +74,22 @@
     if (stream_ != stream) return;  // it was no good: a new watch is on its way
   }
   in_.erase(0, at);
-  if (in_.size() > longest_line) again("endless line");
+  if (in_.size() > longest_line) return again("endless line");
+  if (at > 0) counted_ = 0;
+  if (in_.size() < counted_ + progress) return;
+  counted_ = in_.size();
+  silent_after(beat_limit);
 }
 
 void BoardClient::line(std::string_view text) {
   while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) text.remove_suffix(1);
   if (text.empty()) return;
-  silent_after(beat_limit);
+  const auto stream = stream_;
+  take(text);
+  if (stream_ == stream) silent_after(beat_limit);  // from when it is taken: a long list takes a while
+}
+
+void BoardClient::take(std::string_view text) {
   Notice notice;
   try {
     notice = read_line(text, wall_offset_);
--- a/src/membership/board_client.h
+++ b/src/membership/board_client.h
@@ -29,6 +29,7 @@
  private:
   void connect();
   void line(std::string_view text);
+  void take(std::string_view text);
   void again(const char* why);
   void silent_after(Time span);
   void opened() override;
@@ -45,6 +46,7 @@
   std::shared_ptr<transport::Stream> stream_;
   core::Alarm alarm_;
   std::string in_;
+  std::size_t counted_ = 0;  // bytes of the line that is coming, when its last progress was noted
   int failures_ = 0;
   bool following_ = false;
 };
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -250,7 +250,10 @@
   return std::make_unique<SocketListener>(*this, InheritedSocket(descriptor), std::move(accepted));
 }
 std::unique_ptr<Place> Loop::hear(const Address& address, Heard heard) {
-  return std::make_unique<SocketDatagrams>(*this, net::DatagramSocket(address), std::move(heard));
+  // Beside one that has it already: a router's earlier self, which hears nothing from then on.
+  net::DatagramSocket socket(address.family());
+  socket.bind(address, true, false);
+  return std::make_unique<SocketDatagrams>(*this, socket, std::move(heard));
 }
 std::unique_ptr<Place> Loop::hear_inherited(int descriptor, Heard heard) {
   return std::make_unique<SocketDatagrams>(*this, InheritedDatagram(descriptor), std::move(heard));
--- a/tests/membership/board_test.cpp
+++ b/tests/membership/board_test.cpp
@@ -117,6 +117,41 @@
   EXPECT_LT(network.now(), last_beat + 40'000);
 }
 
+// A list of megabytes takes longer than the silence that is borne; a few bytes now and then are silence.
+TEST(SilentBoard, ALineThatIsStillComingIsNoSilenceButATrickleIs) {
+  emulator::Network network{2};
+  Silent silent;
+  RawServer board{network};
+  std::vector<std::string> names;
+  BoardClient client{network,
+                     transport::numeric_address(board.address()),
+                     4,
+                     1,
+                     silent,
+                     [&](RosterForm, const std::vector<core::RosterEntry>& entries) {
+                       for (const auto& entry : entries) names.push_back(entry.server.id);
+                     }};
+  client.follow(true);
+  network.run_until(network.now() + 1'000);
+  ASSERT_EQ(board.peers.size(), 1U);
+  const std::string list = event(5, std::string(150, 's')), blanks(100 * 1024, ' ');
+  const std::size_t cut = list.find(',') + 1;
+  board.peers[0]->stream->write(list.substr(0, cut));
+  for (int i = 0; i < 5; ++i) {
+    board.peers[0]->stream->write(blanks);
+    network.run_until(network.now() + 10'000);
+  }
+  board.peers[0]->stream->write(list.substr(cut));
+  network.run_until(network.now() + 1'000);
+  EXPECT_EQ(names.size(), 1U);
+  EXPECT_EQ(board.peers.size(), 1U);
+  for (int i = 0; i < 5 && board.peers.size() == 1; ++i) {
+    board.peers[0]->stream->write("{");
+    network.run_until(network.now() + 10'000);
+  }
+  EXPECT_EQ(board.peers.size(), 2U);
+}
+
 // A number that falls back tells nothing new, and is no reason to ask again.
 TEST_F(BoardStory, ANumberThatFallsBackIsPassedOver) {
   ASSERT_TRUE(watching(0, "watch 4\n"));
