--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/SocketImpl.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -27,7 +28,7 @@
 constexpr std::size_t told_at_once = 1024;  // sockets; as many as a PollSet hears of from the system
 constexpr std::size_t most_a_turn = 1024 * 1024;  // bytes of one that came to us; all its open requests fit
 constexpr Time sight = 500;        // tenths of a millisecond; half of what a client is owed that has left
-constexpr Time accept_rest = 100;  // tenths of a millisecond, when the process has no descriptor left
+constexpr Time accept_rest = 100;  // tenths of a millisecond, when there is no room or no descriptor left
 constexpr std::size_t most_datagram = 2048;  // bytes; far above what peers may send
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
@@ -214,15 +215,18 @@
   void take_all() override {
     while (take()) {}
   }
+  void take_where(std::function<bool()> room) override { room_ = std::move(room); }
 
  private:
   bool take();
+  void rest();
   void wait(bool on) { reactor_.wait_for(socket_, *this, on, false); }
   void on_readable() override;
 
   Loop& reactor_;
   net::ServerSocket socket_;
   Accepted accepted_;
+  std::function<bool()> room_;
   core::Alarm rest_;
 };
 
@@ -272,20 +276,25 @@
   return std::make_unique<SocketListener>(*this, InheritedSocket(descriptor), std::move(accepted));
 }
 std::unique_ptr<Place> Loop::hear(const Address& address, Heard heard) {
-  return std::make_unique<SocketDatagrams>(*this, net::DatagramSocket(address), std::move(heard));
+  // Beside one that has it already: a router's earlier self, which hears nothing from then on.
+  net::DatagramSocket socket(address.family());
+  socket.bind(address, true, false);
+  return std::make_unique<SocketDatagrams>(*this, socket, std::move(heard));
 }
 std::unique_ptr<Place> Loop::hear_inherited(int descriptor, Heard heard) {
   return std::make_unique<SocketDatagrams>(*this, InheritedDatagram(descriptor), std::move(heard));
 }
 std::unique_ptr<Place> Loop::hold(const Address& address) { return std::make_unique<HeldPort>(address); }
 
+// The socket is made here: what fails for want of a descriptor is a loss like any other, and its own kind.
 void Loop::SocketStream::connect(const Address& address) {
   try {
     socket_.connectNB(address);
     socket_.setNoDelay(true);
     want_writable(true);
   } catch (const Poco::Exception&) {
-    reactor_.soon([self = shared_from_this()] { self->lose(Loss::refused); });
+    const Loss why = descriptor(socket_) == POCO_INVALID_SOCKET ? Loss::exhausted : Loss::refused;
+    reactor_.soon([self = shared_from_this(), why] { self->lose(why); });
   }
 }
 void Loop::SocketStream::establish() {
@@ -437,14 +446,23 @@
   for (int i = 0; i < accepted_at_once && take(); ++i) {}
 }
 
+// What cannot be taken now stays in the queue: a rest instead of spinning on it.
+void Loop::SocketListener::rest() {
+  wait(false);
+  reactor_.withdraw(rest_);
+  rest_ = reactor_.at(reactor_.now() + accept_rest, [this] { wait(true); });
+}
+
 bool Loop::SocketListener::take() {
+  if (room_) {
+    pollfd queue{.fd = descriptor(socket_), .events = POLLIN, .revents = 0};
+    if (::poll(&queue, 1, 0) != 1) return false;  // no room is made for nobody
+    if (!room_()) return rest(), false;
+  }
   const int fd = ::accept4(descriptor(socket_), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd < 0) {
     if (would_block(errno) || errno == ECONNABORTED) return false;
-    // No descriptor left: rest a little instead of spinning on what cannot be taken.
-    wait(false);
-    rest_ = reactor_.at(reactor_.now() + accept_rest, [this] { wait(true); });
-    return false;
+    return rest(), false;  // no descriptor left
   }
   accepted_(SocketArrival(net::StreamSocket(new net::StreamSocketImpl(fd))));
   return true;
