--- a/src/lab/badday.cpp
+++ b/src/lab/badday.cpp
@@ -178,18 +178,20 @@
     if (trouble.kind == standin::TroubleKind::router_stall) process.stall(true);
   }
   void ended_now(const standin::Trouble& trouble) {
+    std::int64_t until = transport::monotonic_ns();  // a router that was stopped does nothing before
     if (trouble.kind == standin::TroubleKind::router_stall) {
       routers_[static_cast<std::size_t>(trouble.router)]->process->stall(false);
     } else {
       if (trouble.kind == standin::TroubleKind::router_restart) finish_router(trouble.router);
       start_router(trouble.router);
       routers_[static_cast<std::size_t>(trouble.router)]->process->ready();
+      until = transport::monotonic_ns();
     }
     record_.line({{"what", "router"},
                   {"router", trouble.router},
                   {"kind", standin::name_of(trouble.kind)},
                   {"from", since_[trouble.router]},
-                  {"to", transport::monotonic_ns()}});
+                  {"to", until}});
   }
 
   std::vector<std::string> joined(std::vector<std::string> first, const std::vector<std::string>& common,
--- a/tests/checker/judge_test.cpp
+++ b/tests/checker/judge_test.cpp
@@ -122,6 +122,37 @@
   EXPECT_EQ(broken().find('3') != std::string::npos, true) << "the grace after that is over, too";
 }
 
+// Seen on the bad day: told that a server is gone, the router was stopped, and what stood to be read as it
+// went on was that the server is back.
+TEST_F(Records, AServerToldBackWhileTheRouterWasStoppedMayBeReachedAsSoonAsItGoesOn) {
+  event("lookup", "honoured", 2'400);
+  told(0, "a", "gone");
+  told(150, "a", "active");
+  all.push_back(
+      {{"what", "router"}, {"router", 0}, {"kind", "router-stall"}, {"from", 100 * ms}, {"to", 2'200 * ms}});
+  shot("a", 2'201, 2'250, "answered");
+  EXPECT_EQ(broken(), "");
+  all.back()["at"] = 2'199 * ms;
+  EXPECT_EQ(broken(), "3") << "it was still stopped, and had read nothing";
+  all.back()["at"] = 2'201 * ms;
+  all[2]["at"] = 2'202 * ms;
+  EXPECT_EQ(broken(), "3") << "told back a moment after";
+}
+
+TEST_F(Records, OfWhatARouterWasToldWhileItWasStoppedTheLastWordCounts) {
+  event("lookup", "honoured", 4'400);
+  all.back()["limit_ms"] = 5'000;
+  told(0, "a", "active");
+  all.push_back(
+      {{"what", "router"}, {"router", 0}, {"kind", "router-stall"}, {"from", 100 * ms}, {"to", 2'200 * ms}});
+  told(150, "a", "active");
+  told(160, "a", "draining");
+  shot("a", 4'299, 4'350, "answered");
+  EXPECT_EQ(broken(), "") << "the grace runs from when it must have read it";
+  all.back()["at"] = 4'301 * ms;
+  EXPECT_EQ(broken(), "3");
+}
+
 TEST_F(Records, AnEventWithoutAnAnswerOrWithTwoBreaksRuleOne) {
   EXPECT_EQ(broken(), "1");  // one was sent, none ended
   event("lookup", "none");
