An idle close that crosses an attempt is no sign of the server's death

Asked: a server closes an idle connection as an attempt leaves on it. Sound: an at-most-once request fails at once, after its one attempt, and is never sent again; it is not rejected, since it may have run. A keyed one goes on under its key. With a second server an idempotent one is there in the same millisecond. Faulty: with one server that had not been heard for a second, which is every server of an idle connection, and no peers. The pools told a lost connection; the module takes that for a death (design.md, signs of death), holds the server for cold and without copies, and the request, for which a cold one has no room, waited and was rejected instead of getting its second attempt. The module is not at fault: an idle close is not among the endings it is told of, and the pools alone know that the connection had been idle.

--- a/src/carrying/line_pool.cpp
+++ b/src/carrying/line_pool.cpp
@@ -4,6 +4,8 @@
 #include <deque>
 #include <stdexcept>
 
+#include "transport/idle_close.h"
+
 namespace rushhill::carrying {
 namespace {
 
@@ -67,6 +69,11 @@
 
   void use(Exchange exchange) {
     if (established_) reactor_.withdraw(alarm_);
+    if (open_.empty()) {
+      idle_before_ = established_ ? reactor_.now() - idle_since_ : 0;
+      sent_ = reactor_.now();
+      came_ = false;
+    }
     exchange.from = stream_->handed_over() + stream_->waiting();
     const std::string bytes = exchange.bytes;
     if (exchange.kind == Exchange::Kind::unload) {
@@ -136,6 +143,7 @@
 
   void arrived(std::string_view bytes) override {
     const auto self = hold();
+    came_ = true;
     reader_.put(bytes);
     lines::Answer answer;
     while (!over_) {
@@ -161,7 +169,11 @@
   }
 
   void lost(Loss why) override {
-    fail(why == Loss::refused ? Ending::no_connection : Ending::connection_lost, true);
+    const bool crossed = !came_ && transport::crossed_idle_close(idle_before_, reactor_.now() - sent_);
+    fail(why == Loss::refused ? Ending::no_connection
+         : crossed            ? Ending::no_answer
+                              : Ending::connection_lost,
+         true);
   }
 
  private:
@@ -226,7 +238,10 @@
   std::map<std::string, Exchange, std::less<>> open_;
   std::deque<std::string> carried_ids_;
   core::Alarm alarm_;
-  Time idle_since_ = 0;
+  // Of what went on it when it was idle last: how long it had been, since when that is out, and whether
+  // anything has come since.
+  Time idle_since_ = 0, idle_before_ = 0, sent_ = 0;
+  bool came_ = false;
   bool established_ = false, retired_ = false, over_ = false;
 };
 
--- a/src/transport/server_pool.cpp
+++ b/src/transport/server_pool.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "transport/idle_close.h"
+
 namespace rushhill::transport {
 namespace {
 
@@ -160,6 +162,7 @@
   }
   void use(Exchange exchange) {
     withdraw();
+    idle_before_ = reactor_.now() - idle_since_;
     exchange_ = std::move(exchange);
     send();
   }
@@ -181,6 +184,7 @@
 
   void arrived(std::string_view bytes) override {
     if (!exchange_) return pool_.forget(*this);  // nothing was asked: not to be trusted
+    came_ = true;
     in_ += bytes;
     for (;;) {
       const HttpProgress progress = reader_.put(in_);
@@ -200,13 +204,16 @@
       reusable_ = false;
       return answered(reader_.take());
     }
-    fail(Ending::connection_lost);
+    const bool crossed = !came_ && crossed_idle_close(idle_before_, reactor_.now() - sent_);
+    fail(crossed ? Ending::no_answer : Ending::connection_lost);
   }
 
  private:
   void send() {
     withdraw();
     sent_before_ = stream_->handed_over();
+    sent_ = reactor_.now();
+    came_ = false;
     if (exchange_->limit > 0) alarm_ = reactor_.at(exchange_->limit, [this] { fail(Ending::no_answer); });
     const std::string bytes = std::move(exchange_->bytes);
     stream_->write(bytes);
@@ -222,6 +229,7 @@
     if (exchange.kind == Exchange::Kind::shot) pool_.shots_.erase({exchange.event, exchange.leg});
     if (reuse) {
       server_.idle.push_back(this);
+      idle_since_ = reactor_.now();
       alarm_ = reactor_.at(reactor_.now() + pool_.bounds_.idle, [this] { pool_.forget(*this); });
     } else {
       pool_.forget(*this);
@@ -248,6 +256,10 @@
   std::string in_;
   std::size_t sent_before_ = 0;
   core::Alarm alarm_;
+  // Of the present exchange: how long the connection was idle before it, since when it is out, and whether
+  // anything has come since.
+  Time idle_since_ = 0, idle_before_ = 0, sent_ = 0;
+  bool came_ = false;
   bool reusable_ = true;
 };
 
