--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -42,10 +42,11 @@
 constexpr double crowded_gain = 2;          // events shed for each shot beyond; more would swing
 constexpr double shed_most = 0.9;           // of a customer's events; the rest shows when the crowd is gone
 constexpr double quota_slack = 3;           // events; a part of a quota under one event comes by chance
-constexpr double move_share = 0.1;    // overdue shots sent again, of answers; a silent server costs as many
-constexpr double move_burst = 5;      // of these at once
-constexpr double home_excess = 2.2;   // times an even share; what hashes and a burst may bring to one home
-constexpr double cold_part = 0.9;     // share of the rule's budget; leaves room for chance and skew
+constexpr double move_share = 0.1;  // overdue shots sent again, of answers; a silent server costs as many
+constexpr double move_burst = 5;    // of these at once
+constexpr double cold_part = 0.8;   // share of the rule's budget; a warm server's capacity is guessed
+constexpr double ramp_slack = 1;    // of what the rule leaves to chance; filled by credit held unspent
+constexpr double ramp_step = 0.6180339887498949;  // credits from router to router: the most even spread
 constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
 constexpr int refusals_of_shut = 3;   // turned away in a row; a full server still honours some between
 constexpr int cuts_of_death = 3;      // connections lost in a row; a process that dies loses all it has
@@ -111,9 +112,9 @@
 struct Entry;
 
 struct Server {
-  explicit Server(Time part) : sent(part) {}
   ModelServer told;
   int open = 0;                    // own shots out
+  double credit = 0;               // requests that it may get from here while it is cold
   double ease = 1;                 // part of its weight that it bears with ease
   Time gone_at = 0, reborn = 0;    // left the list; last sign that the process died: what answers is cold
   int cuts = 0, silences = 0;      // connections lost, or never come up, since anything was answered
@@ -125,7 +126,6 @@
   int refusals = 0;                // turned away since it honoured anything
   Time probe_turn = 0, noted = 0;  // last turn to probe it; when peers last told of it or were told
   Past past{second};
-  SpanRing sent;  // events sent, for the rule on cold servers
   bool aside = false;
   double trickle = 0;              // share of its usual shots that it gets while set aside
   Time period_end = 0, pause = 0;  // of the trickle; the pause before it doubles while it goes badly
@@ -196,15 +196,16 @@
   }
 
   void roster(Time now, RosterForm form, const std::vector<ModelServer>& servers) override {
-    if (born_ == 0) born_ = now, wake_housekeeping(now);
+    if (born_ == 0) born_ = kept_ = now, wake_housekeeping(now);
     follow_due_ |= d_.roster_on_request && (form == RosterForm::remembered || form == RosterForm::failed);
     if (form == RosterForm::failed) return;
     ++roster_version_;
     std::set<ServerId> named;
     for (const ModelServer& told : servers) {
       named.insert(told.id);
-      auto [it, fresh] = servers_.try_emplace(told.id, span_part(d_.fall_span));
+      auto [it, fresh] = servers_.try_emplace(told.id);
       Server& server = it->second;
+      if (fresh) server.credit = std::fmod(d_.me * ramp_step + even(told.id, ""), 1.0);
       if (!fresh && told.started != server.told.started) {
         server.aside = false, server.reborn = 0, server.past = Past{second};
         forget_copies(told.id);
@@ -346,27 +347,35 @@
     return true;
   }
 
-  // Rule 4. Whether a cold server can bear one more event from this router. Its capacity is guessed low, from
-  // an even share of this router's own honoured events: every router doing so, all together stay under the
-  // rule, heavy types by weight. A part under one event is kept by thinning what the server would get if
-  // warm; all cold ones get no more than all parts, also where the warm ones are full.
-  bool cold_room(Time now, const Server& server, const Pending& pending) const {
-    if (cold_since(now, server) == 0) return true;
-    const double part = cold_part_of(now, server) / std::max(1.0, pending.type->usual / usual_);
-    if (part >= 1) return server.sent.over(now) + 1 <= std::floor(part);
-    const double natural = home_excess * std::max(flow_ * ability(server), borne_ * weight(server)) *
-                           static_cast<double>(d_.fall_span);
-    return server.sent.over(now) < 1 && cold_sent_.over(now) < std::round(std::max(cold_parts_, 1.0)) &&
-           even(std::to_string(pending.told.id), server.told.id) * natural < part;
-  }
+  // Rule 4, the ramp. Whether a cold server can bear one more request from this router: each needs a whole
+  // credit. The first span's credit may be spent ahead; what comes in then pays it off first.
+  bool cold_room(Time now, const Server& server) const {
+    const Time since = cold_since(now, server);
+    if (since == 0 || server.credit >= 1) return true;
+    const double ahead = 1 - static_cast<double>(now - since) / fall_span();
+    return ahead > 0 && server.credit + ahead * cold_part_of(now, server) >= 1;
+  }
+  // Credit grows by this router's part, and lapses unspent after so long that all routers' unspent credits
+  // stay within what the rule leaves to chance. Its phase is spread evenly over the routers by their numbers:
+  // parts under one request add up with little noise, without a message.
+  void ramp(Time now, Server& server) const {
+    const double part = cold_part_of(now, server);
+    const int routers = std::max(1, d_.routers);
+    const double unspent = ramp_slack * (2 * std::sqrt(part * routers) + 2) / routers;
+    server.credit += part * static_cast<double>(now - kept_) / fall_span();
+    server.credit -= std::floor(std::max(server.credit - unspent, 0.0));
+  }
+  // What this router may send to a cold server within the span. Its capacity is guessed low, from an even
+  // share of this router's own honoured requests: all routers' parts add up to what it bears.
   double cold_part_of(Time now, const Server& server) const {
-    const auto span = static_cast<double>(d_.fall_span);
-    const double age = std::max(0.0, static_cast<double>(now - cold_since(now, server)) - span);
+    const double age = std::max(0.0, static_cast<double>(now - cold_since(now, server)) - fall_span());
     const double share = d_.cold_share + (1 - d_.cold_share) * age / static_cast<double>(d_.cold_span);
     const double idle = busy_usual_ > 0 ? std::clamp(1 / busy_usual_, 1.0, 2.0) : 1;
-    const double borne = std::max(borne_ * idle * weight(server), 1.0 / (std::max(1, d_.routers) * usual_));
-    return cold_part * d_.fall_multiple * share * borne * span;
+    const double least = 1.0 / (std::max(1, d_.routers) * std::max(usual_, 1.0));
+    return cold_part * d_.fall_multiple * share * std::max(borne_ * idle * weight(server), least) *
+           fall_span();
   }
+  double fall_span() const { return static_cast<double>(std::max<Time>(d_.fall_span, 1)); }
 
   Time cold_since(Time now, const Server& server) const {
     const Time since = std::max(server.told.started, server.reborn);
@@ -376,6 +385,8 @@
   // Rule 5. Whether one more order to load is within the ration; the counts err to the safe side.
   bool may_order(Time now, const Server& server) const {
     if (!d_.orders || !may_receive(server) || pending_orders_ >= order_cap) return false;
+    if (cold_since(now, server) != 0 && server.credit < 0)
+      return false;  // an order weighs there as a request
     if (d_.load_window <= 0) return true;
     if (d_.ration_told && !ration_known_) return false;
     return orders_.over(now) + 1 <= d_.load_free + d_.loads_per_event * events_taken_.over(now, span_parts);
@@ -494,7 +505,7 @@
         if (choosy && earlier != nullptr && earlier->may_have_run) continue;
         if (choosy && now < server->shut_until) continue;
         if (choosy && server->aside && !trickles(pending, *server)) continue;
-        if (!cold_room(now, *server, pending)) continue;
+        if (!cold_room(now, *server)) continue;
         const bool entered = entered_at(*server);
         if (++rank >= function.hot_homes && !entered && (held || now < server->no_loads_until)) continue;
         // A miss is forgiven once the copy is held or ordered.
@@ -542,9 +553,9 @@
     pending.shots.push_back({.server = id, .sent = now, .confirmed = confirmed});
     ++server.open;
     if (server.unanswered_since == 0) server.unanswered_since = now;
-    server.sent.at(now) += 1;
-    if (cold_since(now, server) != 0) cold_sent_.at(now) += 1;
-    shots_.at(now) += 1;
+    // Every send weighs as the mean work of its class.
+    if (cold_since(now, server) != 0)
+      server.credit -= std::max(1.0, pending.type->usual / std::max(usual_, 1.0));
     host_.shoot(pending.told.id, id, 0);
   }
 
@@ -554,6 +565,7 @@
     if (!std::exchange(entry.ordered, true)) {
       ++pending_orders_;
       orders_.at(now) += 1;
+      servers_.at(id).credit -= 1;
       host_.order(id, pending.told.function, 1);
     }
     // A shot sent now could overtake the order: the event follows in housekeeping, or when the order ends.
@@ -777,8 +789,8 @@
     wake_housekeeping(now);
     if (std::exchange(follow_due_, false)) host_.follow(true);
     std::vector<double> bad, paces;
-    double done = 0, warm_weight = 0, warm_ability = 0;
-    serving_ = aside_ = cold_parts_ = 0;
+    double done = 0, warm_weight = 0;
+    serving_ = aside_ = 0;
     for (auto& [id, server] : servers_) {
       next_period(now, server);
       if (!may_receive(server)) continue;
@@ -788,16 +800,15 @@
       const Tally recent = server.past.over(now, recent_);
       bad.push_back(recent.judged > 0 ? recent.bad / recent.judged : 0);
       if (recent.paced >= prior_answers) paces.push_back(recent.pace_sum / recent.paced);
-      cold_parts_ += cold_since(now, server) != 0 ? cold_part_of(now, server) : 0;
-      if (cold_since(now, server) != 0) continue;
+      const bool cold = cold_since(now, server) != 0;
+      if (cold) ramp(now, server);
+      if (cold) continue;
+      server.credit -= std::floor(server.credit);  // of a warm one only the phase is kept
       done += server.past.over(now).honoured;
       warm_weight += weight(server);
-      warm_ability += ability(server);
     }
     median_bad_ = median(bad, 0);
     fleet_pace_ = median(paces, fleet_pace_);
-    const double shots = std::max(shots_.over(now, recent_buckets), heat_.over(now, recent_buckets));
-    flow_ = shots / std::max(warm_ability, 0.1) / static_cast<double>(recent_buckets * second);
     const Time seen = std::clamp(now - born_, second, ring_span);
     borne_ = done / std::max(warm_weight, 0.1) / static_cast<double>(seen);
     // All that is judged over time follows the time in which each server gets one of this router's events.
@@ -816,6 +827,7 @@
       const auto& [id, server] = item;
       return server.gone_at != 0 && server.open == 0 && now - server.gone_at > forget_after;
     });
+    kept_ = now;
     for (auto& [id, pending] : events_) look(now, pending);
     place_waiting(now);
     std::erase_if(events_, [](const auto& item) { return item.second.done && !any_open(item.second); });
@@ -827,7 +839,9 @@
     const Time turn = now / probe_period;
     if (std::exchange(server.probe_turn, turn) == turn) return;
     const double whose = std::ceil(even(std::to_string(turn), server.told.id) * std::max(1, d_.routers));
-    if (static_cast<int>(whose) == d_.me + 1) host_.probe(server.told.id);
+    if (static_cast<int>(whose) != d_.me + 1) return;
+    server.credit -= 1;
+    host_.probe(server.told.id);
   }
 
   static double median(std::vector<double>& values, double otherwise) {
@@ -882,22 +896,21 @@
   std::map<EventId, Pending> events_;
   std::map<std::string, Account> accounts_;
   std::set<EventId> waiting_;
-  SpanRing orders_, events_taken_;               // for the ration of orders
-  SpanRing cold_sent_{span_part(d_.fall_span)};  // to all cold servers
+  SpanRing orders_, events_taken_;  // for the ration of orders
   std::size_t pending_orders_ = 0;
-  Counts heat_{second}, shots_{second};                 // events taken, shots sent
+  Counts heat_{second};                                 // events taken
   double usual_ = 0, load_usual_ = 0, busy_usual_ = 0;  // time of an answer, of a load; use of cores
   double fleet_pace_ = 1, median_bad_ = 0;
-  double borne_ = 0, flow_ = 0;  // honoured at, sent to a warm server, per weight and time
-  // Servers that may receive; of these, set aside; this router's parts at all cold ones.
-  double serving_ = 0, aside_ = 0, cold_parts_ = 0;
-  Time beat_ = second;            // a server gets one of this router's events in about that
-  int recent_ = recent_buckets;   // buckets that tell of the present
-  double prior_ = prior_answers;  // answers that a server must show, at this beat
+  double borne_ = 0;                // honoured at a warm server, per weight and time
+  double serving_ = 0, aside_ = 0;  // servers that may receive; of these, set aside
+  Time beat_ = second;              // a server gets one of this router's events in about that
+  int recent_ = recent_buckets;     // buckets that tell of the present
+  double prior_ = prior_answers;    // answers that a server must show, at this beat
   std::uint64_t roster_version_ = 0, picks_ = 0;
   double crossing_ = 0;        // score; a crossing's price, in loads
   double moves_ = move_burst;  // overdue shots that may be sent again now
-  Time born_ = 0, swept_ = 0;  // first word of the roster; the second of the last sweep of the Index
+  Time born_ = 0, kept_ = 0,
+       swept_ = 0;  // first word of the roster; last housekeeping; second of the last sweep
   bool follow_due_ = false, ration_known_ = false;
 };
 
