Cold ramp: unspent credit may fill all that the rule leaves beside what comes in

Change: of the budget 0.75 comes in as credit; unspent credits of all routers may fill the rest, 0.25 N + 2 root N + 2. Both together are what the rule permits, so the bound holds by construction, and large N, where twice the root is little, keeps credit longer. ramp_slack is gone.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -44,8 +44,7 @@
 constexpr double quota_slack = 3;           // events; a part of a quota under one event comes by chance
 constexpr double move_share = 0.1;  // overdue shots sent again, of answers; a silent server costs as many
 constexpr double move_burst = 5;    // of these at once
-constexpr double cold_part = 0.8;   // share of the rule's budget; a warm server's capacity is guessed
-constexpr double ramp_slack = 1;    // of what the rule leaves to chance; filled by credit held unspent
+constexpr double cold_part = 0.75;  // of the rule's budget comes in as credit; the rest may stand unspent
 constexpr double ramp_step = 0.6180339887498949;  // credits from router to router: the most even spread
 constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
 constexpr int refusals_of_shut = 3;   // turned away in a row; a full server still honours some between
@@ -356,12 +355,13 @@
     return ahead > 0 && server.credit + ahead * cold_part_of(now, server) >= 1;
   }
   // Credit grows by this router's part, and lapses unspent after so long that all routers' unspent credits
-  // stay within what the rule leaves to chance. Its phase is spread evenly over the routers by their numbers:
-  // parts under one request add up with little noise, without a message.
+  // fill the rest of N and what the rule leaves to chance, 2 x root of N + 2. Its phase is spread evenly over
+  // the routers by their numbers: parts under one request add up with little noise, without a message.
   void ramp(Time now, Server& server) const {
     const double part = cold_part_of(now, server);
     const int routers = std::max(1, d_.routers);
-    const double unspent = ramp_slack * (2 * std::sqrt(part * routers) + 2) / routers;
+    const double n = part * routers / cold_part;  // if all routers are like this one
+    const double unspent = ((1 - cold_part) * n + 2 * std::sqrt(n) + 2) / routers;
     server.credit += part * static_cast<double>(now - kept_) / fall_span();
     server.credit -= std::floor(std::max(server.credit - unspent, 0.0));
   }
