--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -20,6 +20,7 @@
 #include "lab/lag.h"
 #include "lab/mqtt_pump.h"
 #include "lab/pump.h"
+#include "lab/scale.h"
 #include "standin/broker.h"
 #include "standin/clients.h"
 #include "standin/fleet.h"
@@ -343,6 +344,28 @@
   on_lag->add_option("--loss", lag_of.loss, "share of what is sent that is lost")
       ->check(CLI::Range(0.0, 0.9));
   on_lag->add_option("--seed", lag_of.seed, "of everything drawn");
+  lab::Scale scale_of;
+  auto* on_scale = on_lab->add_subcommand(
+      "scale", "what the program's parts cost by the sizes of a fleet, as lines fitted to points counted");
+  on_scale->add_option("--only", scale_of.only, "costs whose names hold this text alone");
+  on_scale
+      ->add_option("--repeats", scale_of.repeats,
+                   "runs of each point for user CPU, of which the least counts")
+      ->check(CLI::Range(0, 100));
+  on_scale->add_option("--jobs", scale_of.jobs, "points at once, a process each")->check(CLI::Range(1, 64));
+  on_scale->add_option("--plots", scale_of.plots,
+                       "draw the growth of each part into this folder (needs gnuplot)");
+  on_scale->add_flag("--size", scale_of.size,
+                     "instead: runs near the size to design for, beside what the slopes foretell");
+  on_scale->add_flag("--small", scale_of.small, "smaller sizes, seconds instead of minutes");
+  on_scale->add_flag("--list", scale_of.list, "name the costs and what carries them; run nothing");
+  on_scale->add_flag("--json", scale_of.json, "a line of JSON for each cost and figure");
+  on_scale->footer(
+      "Instructions are counted by the processor (user space alone); where the machine does not let it, they "
+      "are left\n"
+      "out, and a run under callgrind counts them: valgrind --tool=callgrind --trace-children=yes rushhill "
+      "lab scale\n"
+      "--only NAME --repeats 0 --jobs 1. Bytes are the allocator's; port bytes are payload without headers.");
   auto* on_version = app.add_subcommand("version", "print the version");
 
   try {
@@ -368,6 +391,7 @@
   if (on_badday->parsed()) return lab::play(bad_day);
   if (on_run->parsed()) return lab::emulate(emulated);
   if (on_lag->parsed()) return lab::lag(lag_of);
+  if (on_scale->parsed()) return lab::scale(scale_of);
   if (on_judge->parsed()) return lab::judge(bad_day);
   return 0;
 }
--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -106,6 +106,7 @@
     const std::size_t part = std::min(room, out_.size());
     if (part == 0) return;
     handed_over_ += part;
+    network_.bytes_ += part;
     under_way_ += part;
     std::string bytes = part == out_.size() ? std::exchange(out_, {}) : out_.substr(0, part);
     if (!out_.empty()) out_.erase(0, part);
@@ -192,6 +193,8 @@
   ~Hearing() override { network_.hearing_.erase(address_.port()); }
   Address address() const override { return address_; }
   bool send(const Address& to, std::string_view bytes) override {
+    network_.bytes_ += bytes.size();
+    ++network_.datagrams_;
     network_.at(network_.now() + network_.latency_,
                 [&network = network_, port = to.port(), from = address_, text = std::string(bytes)] {
                   const auto it = network.hearing_.find(port);
--- a/src/emulator/network.h
+++ b/src/emulator/network.h
@@ -30,6 +30,9 @@
   void run_until(Time moment);  // the same, and no further than that
   void halt() override { halted_ = true; }
   std::int64_t happenings() const { return happenings_; }  // alarms rung and calls put off, all in all
+  // Bytes that have left on connections and in datagrams, without any header; and datagrams.
+  std::uint64_t bytes() const { return bytes_; }
+  std::uint64_t datagrams() const { return datagrams_; }
 
   Time now() const override { return now_; }
   core::Alarm at(Time when, Call call) override { return alarms_.set(when, std::move(call)); }
@@ -71,6 +74,7 @@
   std::uint64_t turns_ = 0;
   std::uint16_t next_port_ = 1024;
   std::int64_t happenings_ = 0;
+  std::uint64_t bytes_ = 0, datagrams_ = 0;
   bool halted_ = false;
   double loss_ = 0;
   Time again_ = 0;
--- /dev/null
+++ b/src/scale/hollow.cpp
@@ -0,0 +1,305 @@
+#include "scale/hollow.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <numeric>
+#include <utility>
+
+namespace rushhill::scale {
+namespace {
+
+// What surrounds a hollow router; ours, since the size that the users told does not say it.
+constexpr Time second = 10'000;           // tenths of a millisecond
+constexpr Time work = 200;                // time; an answer where a copy stands, 20 ms
+constexpr Time load = 4'000;              // time; until a copy stands, within the 0.45 s of a cold start
+constexpr Time copy_life = 600 * second;  // time; an instance lives some 10 minutes
+constexpr Time latency_target = 7'500;    // time; as the fleets played elsewhere
+constexpr Time deadline = 25'000;         // time; likewise
+constexpr int zones = 6, regions = 2;     // as told
+constexpr int rack = 40;                  // servers in a cell
+constexpr int stride_part = 618;  // of a thousand: called in turn, but not neighbours after each other
+// Calls by (rank + head)^-steepness: of 15,000 functions and 110,000 calls a second more than half come less
+// than once a minute, and the first has a tenth.
+constexpr double head = 8, steepness = 2;
+constexpr double tenant_quota = 1e6;   // requests a second; never reached
+constexpr double fewest_fetches = 64;  // of the store at once, however few servers
+constexpr int attempt_cap = 3;         // attempts a request
+
+}  // namespace
+
+std::string server_name(int number) {
+  char text[32];
+  std::snprintf(text, sizeof text, "host-%05d", number);
+  return text;
+}
+std::string function_name(int number) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(number) * 2'654'435'761U);
+  return text;
+}
+
+std::vector<ModelServer> server_list(int servers) {
+  std::vector<ModelServer> list;
+  for (int i = 0; i < servers; ++i) {
+    const int zone = i % zones;
+    list.push_back({.id = server_name(i),
+                    .rating = 2,
+                    .kind = "std",
+                    .location = "region-" + std::to_string(zone % regions) + "/zone-" + std::to_string(zone),
+                    .cell = i / rack});
+  }
+  return list;
+}
+
+Deployment deployment_of(const Sizes& sizes) {
+  Deployment told;
+  told.routers = sizes.routers;
+  told.location = "region-0/zone-0";
+  told.tick = 10;
+  told.shot_cap = attempt_cap;
+  told.tells_warm = true;
+  told.keep_alive = copy_life;
+  told.cold_span = 16 * second;
+  told.fall_span = second + second / 2;
+  told.probing = told.peers = sizes.probing;
+  if (sizes.probing)
+    told.reports = "probe", told.routers = 1;  // one probes for all: the whole fleet's messages
+  told.traffic_types = {
+      {.name = "lookup", .due = latency_target, .hard_limit = deadline, .effect = Effect::reissuable}};
+  for (int i = 0; i < sizes.tenants; ++i)
+    told.customers.push_back(
+        {.name = "tenant-" + std::to_string(i), .share = 1, .quota_per_s = tenant_quota});
+  return told;
+}
+
+Calls::Calls(const Sizes& sizes, std::uint64_t seed)
+    : functions_(sizes.functions), chance_(static_cast<std::uint_fast32_t>(seed)), even_(sizes.even) {
+  if (even_) return;
+  std::vector<double> weights;
+  for (int i = 0; i < functions_; ++i) weights.push_back(std::pow(i + 1 + head, -steepness));
+  drawn_ = std::discrete_distribution<int>(weights.begin(), weights.end());
+}
+int Calls::next() {
+  if (!even_) return drawn_(chance_);
+  last_ = (last_ + 1) % functions_;
+  const std::int64_t stride = static_cast<std::int64_t>(functions_) * stride_part / 1'000 | 1;
+  // Where the stride shares a factor with the number, some come twice and others not: then one after another.
+  return std::gcd(stride, static_cast<std::int64_t>(functions_)) == 1
+             ? static_cast<int>(last_ * stride % functions_)
+             : last_;
+}
+
+HollowModule::HollowModule(const Sizes& sizes, Counter& counter, std::uint64_t seed)
+    : requests(counter), ticks(counter), lists(counter), sizes_(sizes), list_(server_list(sizes.servers)),
+      calls_(sizes, seed) {
+  for (std::size_t i = 0; i < list_.size(); ++i) place_[list_[i].id] = i;
+  for (int i = 0; i < sizes.functions; ++i) functions_.push_back(function_name(i));
+  router_ = make_router(deployment_of(sizes), seed, *this);
+  whole_list();
+}
+HollowModule::~HollowModule() = default;
+
+void HollowModule::clear() {
+  requests.clear(), ticks.clear(), lists.clear();
+  taken = attempts = rejected = abandoned = cold = messages = message_bytes = 0;
+}
+
+double HollowModule::end() {
+  const double before = allocated_bytes();
+  router_.reset();
+  return before - allocated_bytes();
+}
+
+void HollowModule::whole_list() {
+  lists.begin();
+  router_->roster(now_, RosterForm::complete, list_);
+  lists.end();
+}
+void HollowModule::change(int server) {
+  ModelServer& changed = list_[static_cast<std::size_t>(server) % list_.size()];
+  changed.started = ++changes_;  // another life, and long ago: it is not cold any more
+  lists.begin();
+  router_->roster(now_, RosterForm::changes, {changed});
+  lists.end();
+}
+
+void HollowModule::request() {
+  calling_ = calls_.next();
+  const EventId id = ++last_;
+  function_of_[id] = calling_;
+  met_.insert(calling_);
+  Event told{.id = id,
+             .traffic_type = "lookup",
+             .function = functions_[static_cast<std::size_t>(calling_)],
+             .left = deadline,
+             .load_time = load};
+  if (sizes_.tenants > 0) told.customer = "tenant-" + std::to_string(id % sizes_.tenants);
+  ++taken;
+  requests.begin();
+  router_->event(now_, told);
+  requests.end();
+}
+
+void HollowModule::pass(Time span) {
+  const Time until = now_ + span;
+  for (;;) {
+    const Time timer = due_.empty() ? until + 1 : due_.top().at;
+    const auto call = static_cast<Time>(next_request_);
+    if (std::min(timer, call) > until) break;
+    if (timer <= call) {
+      const Due due = due_.top();
+      due_.pop();
+      now_ = std::max(now_, due.at);
+      ring(due);
+    } else {
+      now_ = std::max(now_, call);
+      next_request_ += static_cast<double>(second) / sizes_.requests;
+      request();
+    }
+    for (const ServerId& server : std::exchange(probed_, {}))
+      router_->probe_ended(now_, {.server = server, .taken = work, .report = {{"util", 0.5}}});
+  }
+  now_ = until;
+}
+
+void HollowModule::ring(const Due& due) {
+  if (!due.is_end) {
+    Meter& meter = due.token == 0 ? ticks : requests;
+    meter.begin();
+    router_->woken(now_, due.token);
+    meter.end();
+    return;
+  }
+  const ShotEnd end{.event = due.event,
+                    .server = list_[due.server].id,
+                    .final = true,
+                    .taken = now_ - due.sent,
+                    .warmth = due.found ? Warmth::found : Warmth::began_load};
+  function_of_.erase(due.event);
+  requests.begin();
+  router_->shot_ended(now_, end);
+  requests.end();
+}
+
+void HollowModule::shoot(EventId event, const ServerId& server, Time) {
+  ++attempts;
+  const std::size_t place = place_.at(server);
+  const auto [copy, fresh] = warm_.try_emplace({place, function_of_.at(event)}, now_);
+  const bool found = !fresh && now_ - copy->second < copy_life;
+  copy->second = now_;
+  cold += found ? 0 : 1;
+  due_.push({.at = now_ + (found ? work : work + load),
+             .event = event,
+             .server = place,
+             .sent = now_,
+             .found = found,
+             .is_end = true});
+}
+void HollowModule::wake(std::int64_t token, Time at) { due_.push({.at = at, .token = token}); }
+void HollowModule::probe(const ServerId& server) { probed_.push_back(server); }
+void HollowModule::tell(int, const std::string& bytes) {
+  ++messages;
+  message_bytes += static_cast<std::int64_t>(bytes.size());
+}
+
+HollowServers::HollowServers(core::Clockwork& clock, int servers, int functions)
+    : clock_(clock), store_({.fetches_at_once = std::max(fewest_fetches, 2.0 * servers),
+                             .most_fetches = std::max(fewest_fetches, 8.0 * servers)}) {
+  for (int i = 0; i < functions; ++i) {
+    const std::string name = function_name(i);
+    functions_[name] = {.name = name, .memory_mb = 150, .lanes = 2, .load = load, .work = work};
+  }
+  const standin::RuleFigures rules;
+  for (const ModelServer& told : server_list(servers)) {
+    standin::MachineMake make{.id = told.id, .kind = told.kind, .location = told.location, .cell = told.cell};
+    make.keep_alive = copy_life;
+    auto machine = std::make_unique<standin::Machine>(make, rules, false, store_, clock_, 1);
+    machine->start(false);
+    machines_.emplace(told.id, std::move(machine));
+  }
+}
+HollowServers::~HollowServers() = default;
+standin::Machine& HollowServers::at(const ServerId& server) { return *machines_.at(server); }
+
+std::vector<core::RosterEntry> HollowServers::list() const {
+  std::vector<core::RosterEntry> entries;
+  for (ModelServer& server : server_list(static_cast<int>(machines_.size())))
+    entries.push_back({std::move(server), "127.0.0.1:9"});
+  return entries;
+}
+
+HollowRouter::HollowRouter(const Deployment& deployment, HollowServers& servers, core::Peers& peers,
+                           std::uint64_t seed)
+    : servers_(servers),
+      gateway_(deployment, seed,
+               {.clock = servers.clock(), .carrier = *this, .peers = peers, .roster = *this, .diary = *this}),
+      source_(gateway_.add_source(1)) {}
+HollowRouter::~HollowRouter() {
+  for (const auto& [key, job] : jobs_) servers_.at(job.first).drop(job.second);
+}
+
+bool HollowRouter::request(const std::string& function, EventId number) {
+  calling_ = function;
+  const auto id = gateway_.take(
+      source_, *this, {.traffic_type = "lookup", .function = function, .left = deadline, .load_time = load},
+      {.id = std::to_string(number), .source = "/clients", .type = "lookup"});
+  // What waits for a place is sent later.
+  if (id) open_.try_emplace(*id, function, servers_.clock().now());
+  calling_.clear();
+  return id.has_value();
+}
+
+void HollowRouter::shoot(const core::ShotCall& call) {
+  const auto [open, first] = open_.try_emplace(call.event, calling_, servers_.clock().now());
+  standin::Machine& machine = servers_.at(call.server);
+  const std::pair key{call.event, call.leg};
+  const Time now = servers_.clock().now();
+  const auto done = [this, key, alive = std::weak_ptr(life_)](const standin::Machine::End& end) {
+    servers_.clock().soon([this, key, end, alive] {
+      if (alive.expired()) return;
+      jobs_.erase(key);
+      const Ending ending = end.fate == standin::Fate::ran ? Ending::honoured : Ending::turned_away;
+      gateway_.shot_ended(
+          key.first, key.second,
+          {.ending = ending, .warmth = end.warmth, .crowd = end.crowd, .report = {}, .reply = {}});
+    });
+  };
+  const auto job = machine.take(
+      {&servers_.function(open->second.first), work, now + call.left}, [] {}, done);
+  jobs_[key] = {call.server, job};
+}
+void HollowRouter::drop(EventId event, int leg) {
+  const auto it = jobs_.find({event, leg});
+  if (it == jobs_.end()) return;
+  servers_.at(it->second.first).drop(it->second.second);
+  jobs_.erase(it);
+}
+void HollowRouter::probe(const ServerId& server, Time) {
+  servers_.clock().soon([this, server, alive = std::weak_ptr(life_)] {
+    if (!alive.expired())
+      gateway_.probe_ended(server, Ending::honoured, {{"util", servers_.at(server).busy()}});
+  });
+}
+void HollowRouter::order(const ServerId& server, const FunctionId& function, int copies, Time) {
+  servers_.at(server).hold(
+      servers_.function(function), copies,
+      [this, server, function, alive = std::weak_ptr(life_)](standin::Fate fate, int standing) {
+        servers_.clock().soon([this, server, function, fate, standing, alive] {
+          if (alive.expired()) return;
+          const Ending ending = fate == standin::Fate::ran ? Ending::honoured : Ending::turned_away;
+          gateway_.order_ended(server, function, ending, standing);
+        });
+      });
+}
+void HollowRouter::honoured(EventId event, events::CloudEvent) {
+  const auto it = open_.find(event);
+  ++answered;
+  if (it == open_.end()) return;
+  in_time += servers_.clock().now() - it->second.second <= latency_target ? 1 : 0;
+  open_.erase(it);
+}
+void HollowRouter::shed(EventId event, Time) { open_.erase(event); }
+void HollowRouter::abandoned(EventId event) { open_.erase(event); }
+
+}  // namespace rushhill::scale
--- /dev/null
+++ b/src/scale/hollow.h
@@ -0,0 +1,170 @@
+// A router with all that is around it hollow: the real module, or the real core and module, told of servers
+// that hold no bytes and asked by clients that are figures. What is metered is the program's own work alone.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/gateway.h"
+#include "decide.h"
+#include "emulator/network.h"
+#include "scale/counter.h"
+#include "standin/machine.h"
+
+namespace rushhill::scale {
+
+// What a router lives in. One of these is varied at a time.
+struct Sizes {
+  int servers = 1'000;
+  int functions = 15'000;
+  double requests = 162;  // a second, at this router
+  int routers = 680;
+  int tenants = 0;
+  bool even = false;     // functions are called alike often, one after the other; else a few most of the time
+  bool probing = false;  // load reports are asked for, and told to all routers
+};
+
+std::string server_name(int number);
+std::string function_name(int number);
+std::vector<ModelServer> server_list(int servers);
+Deployment deployment_of(const Sizes& sizes);
+
+// Which function is called next.
+class Calls {
+ public:
+  Calls(const Sizes& sizes, std::uint64_t seed);
+  int next();
+
+ private:
+  int functions_, last_ = 0;
+  std::ranlux24_base chance_;
+  std::discrete_distribution<int> drawn_;  // none: in turn
+  bool even_;
+};
+
+// The module behind decide.h. Servers answer after a fixed work and load what they lack.
+class HollowModule final : private Host {
+ public:
+  HollowModule(const Sizes& sizes, Counter& counter, std::uint64_t seed = 1);
+  ~HollowModule() override;
+
+  void pass(Time span);     // with its requests, answers and timers
+  void request();           // one now, beside those that come by themselves
+  void change(int server);  // one server has started anew: a list of one entry
+  void whole_list();
+  void clear();  // the meters
+  std::size_t functions_met() const { return met_.size(); }
+  double end();  // of the module; what it held, in bytes of the allocator
+
+  Meter requests, ticks, lists;  // a request: event, its attempts' ends, its limit's timer
+  std::int64_t taken = 0, attempts = 0, rejected = 0, abandoned = 0, cold = 0;
+  std::int64_t messages = 0, message_bytes = 0;  // to peers, before they fan out
+
+ private:
+  struct Due {
+    Time at = 0;
+    std::int64_t token = 0;  // of a timer; else an attempt's end
+    EventId event = 0;
+    std::size_t server = 0;
+    Time sent = 0;
+    bool found = true, is_end = false;
+    bool operator>(const Due& other) const { return at > other.at; }
+  };
+
+  void shoot(EventId event, const ServerId& server, Time time_out) override;
+  void call_off(EventId, int) override {}
+  void shed(EventId event, Time) override { ++rejected, function_of_.erase(event); }
+  void abandon(EventId event) override { ++abandoned, function_of_.erase(event); }
+  void wake(std::int64_t token, Time at) override;
+  void probe(const ServerId& server) override;
+  void close_idle(const ServerId&) override {}
+  void order(const ServerId&, const FunctionId&, int) override {}
+  void unload(const ServerId&, const FunctionId&) override {}
+  void tell(int, const std::string& bytes) override;
+  void follow(bool) override {}
+  void reload() override {}
+  void log(const std::string&) override {}
+  void ring(const Due& due);
+
+  Sizes sizes_;
+  std::vector<ModelServer> list_;
+  std::vector<std::string> functions_;
+  std::map<ServerId, std::size_t> place_;
+  Calls calls_;
+  Time now_ = 10'000, changes_ = 0;
+  double next_request_ = 10'000;
+  EventId last_ = 0;
+  int calling_ = 0;    // function of the request being taken
+  std::set<int> met_;  // functions
+  std::map<EventId, int> function_of_;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  std::vector<ServerId> probed_;
+  std::map<std::pair<std::size_t, int>, Time> warm_;  // copy: server and function, last used
+  std::unique_ptr<Router> router_;
+};
+
+// Servers by the emulator's model, for any number of hollow routers.
+class HollowServers {
+ public:
+  HollowServers(core::Clockwork& clock, int servers, int functions);
+  ~HollowServers();
+  standin::Machine& at(const ServerId& server);
+  const standin::FunctionMake& function(const std::string& name) const { return functions_.at(name); }
+  core::Clockwork& clock() { return clock_; }
+  std::vector<core::RosterEntry> list() const;
+
+ private:
+  core::Clockwork& clock_;
+  standin::Store store_;
+  std::map<std::string, standin::FunctionMake> functions_;
+  std::map<ServerId, std::unique_ptr<standin::Machine>> machines_;
+};
+
+// Core and module; its connections to servers and clients are calls.
+class HollowRouter final : private core::Carrier,
+                           private core::Client,
+                           private core::RosterSource,
+                           private core::Diary {
+ public:
+  HollowRouter(const Deployment& deployment, HollowServers& servers, core::Peers& peers, std::uint64_t seed);
+  ~HollowRouter() override;
+
+  bool request(const std::string& function, EventId number);  // false: no room
+  core::Gateway& gateway() { return gateway_; }
+  std::int64_t answered = 0, in_time = 0;
+
+ private:
+  void shoot(const core::ShotCall& call) override;
+  void drop(EventId event, int leg) override;
+  bool recall(EventId, int) override { return false; }
+  void recall_all(const ServerId&) override {}
+  void probe(const ServerId& server, Time limit) override;
+  void order(const ServerId& server, const FunctionId& function, int copies, Time limit) override;
+  void unload(const ServerId&, const FunctionId&) override {}
+  void close_idle(const ServerId&) override {}
+  void reach(const ServerId&, const std::string&) override {}
+  void honoured(EventId event, events::CloudEvent reply) override;
+  void shed(EventId event, Time come_back) override;
+  void abandoned(EventId event) override;
+  void follow(bool) override {}
+  void reload() override {}
+  bool wants(core::Level) const override { return false; }
+  void line(core::Level, const char*, Fields) override {}
+
+  HollowServers& servers_;
+  std::map<EventId, std::pair<std::string, Time>> open_;  // function, when it came
+  std::map<std::pair<EventId, int>, std::pair<ServerId, standin::Machine::JobId>> jobs_;
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+  std::string calling_;
+  core::Gateway gateway_;
+  taking::Shares::Source source_;
+};
+
+}  // namespace rushhill::scale
--- a/tests/emulator/network_test.cpp
+++ b/tests/emulator/network_test.cpp
@@ -59,6 +59,18 @@
   EXPECT_EQ(client.seen, "back");
 }
 
+TEST_F(Wire, BytesAndDatagramsThatLeaveAreCounted) {
+  connect();
+  client.stream->write("one two");
+  EXPECT_EQ(network.bytes(), 0U) << "they have not left";
+  pass();
+  EXPECT_EQ(network.bytes(), 7U);
+  const auto here = network.hear(transport::numeric_address("127.0.0.1:0"), [](const auto&, auto) {});
+  here->send(transport::numeric_address("127.0.0.1:9"), "alone");
+  EXPECT_EQ(network.bytes(), 12U) << "also where nobody hears it";
+  EXPECT_EQ(network.datagrams(), 1U);
+}
+
 TEST_F(Wire, WhereNobodyListensOrTheConnectionIsNotTakenItIsRefused) {
   refusing = true;
   connect();
