lab scale: chosen sizes (--at), memory with all functions met, and the size run's clock and memory mended

Cause: the size run foretold a router's memory with a function's own part counted as a part of each server (67% too little beside 680 routers), gave no user CPU, and no cost told the memory where every function is met.

--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -355,6 +355,11 @@
   on_scale->add_option("--jobs", scale_of.jobs, "points at once, a process each")->check(CLI::Range(1, 64));
   on_scale->add_option("--plots", scale_of.plots,
                        "draw the growth of each part into this folder (needs gnuplot)");
+  on_scale
+      ->add_option("--at", scale_of.at,
+                   "these sizes, ascending, instead of each cost's own; fewer than three give no line")
+      ->delimiter(',')
+      ->check(CLI::Range(1.0, 1e6));
   on_scale->add_flag("--size", scale_of.size,
                      "instead: runs near the size to design for, beside what the slopes foretell");
   on_scale->add_flag("--small", scale_of.small, "smaller sizes, seconds instead of minutes");
--- a/src/lab/scale.cpp
+++ b/src/lab/scale.cpp
@@ -99,7 +99,8 @@
 // Every point counted once and timed several times, `jobs` at a time.
 std::vector<Point> measure(const scale::Cost& cost, const Scale& of) {
   std::vector<Point> points;
-  for (const double size : of.small ? cost.small_points : cost.points) points.push_back({size});
+  const std::vector<double>& own = of.small ? cost.small_points : cost.points;
+  for (const double size : of.at.empty() ? own : of.at) points.push_back({size});
   struct Under {
     std::size_t point = 0;
     Run run;
@@ -231,10 +232,11 @@
     const double servers = size.sizes.servers, least = request_.sizes.front();
     const double more = at(request_, servers, "request") - at(request_, least, "request");
     const double more_ticks = at(tick_, servers, "tick") - at(tick_, least, "tick");
-    const double each = held_.slope / servers_of_held;
+    const double function = memory_.base / met_.costs.back();
+    const double each = (held_.slope - function) / servers_of_held;
     const double server = memory_.slope - each * met_.costs.back();
     return {at(second_, size.sizes.requests, "second") + size.sizes.requests * more + ticks * more_ticks,
-            memory_.base + servers * (server + each * functions_met)};
+            servers * (server + each * functions_met) + function * functions_met};
   }
   double met() const { return met_.costs.back(); }
 
@@ -252,14 +254,20 @@
   return static_cast<double>(met.size());
 }
 
-int beside(const char* what, const scale::Size& size, const Slopes& slopes, bool json) {
+int beside(const char* what, const scale::Size& size, const Slopes& slopes, const Scale& of) {
   constexpr double kept = 120;  // seconds that the module keeps a function not called
   const double calls =
       size.sizes.requests * std::min(kept, static_cast<double>(size.lead + size.measured) / 10'000);
   const Foretold foretold = slopes.of(size, met_in(size.sizes, calls));
   std::cerr << what << ": foretold " << figure_text(foretold.instructions) << " instructions a second, "
             << figure_text(foretold.bytes) << " bytes a router" << std::endl;
-  const Json found = end(begin(true, [&](scale::Counter& counter) { return scale::run_at(size, counter); }));
+  const auto run = [&](scale::Counter& counter) { return scale::run_at(size, counter); };
+  Json found = end(begin(true, run));
+  for (int i = 0; i < of.repeats && !found.contains("failed"); ++i) {
+    const Json timed = end(begin(false, run));
+    const double ns = timed.value("user ns", 0.0);
+    if (ns > 0) found["user ns"] = std::min(ns, found.value("user ns", ns));
+  }
   if (found.contains("failed")) {
     std::cerr << what << ": " << found.at("failed").get<std::string>() << '\n';
     return 1;
@@ -272,7 +280,7 @@
                  {"requests a second at each", size.sizes.requests},
                  {"foretold", {{"instructions", foretold.instructions}, {"bytes", foretold.bytes}}},
                  {"found", found}};
-  if (json) {
+  if (of.json) {
     std::cout << row.dump() << std::endl;
     return 0;
   }
@@ -307,8 +315,8 @@
     whole.sizes.servers = 250, whole.instances = 10'000, whole.lead = whole.measured = 10 * second;
     all.sizes.servers = 125, all.routers = 68, all.instances = 5'000, all.lead = all.measured = 10 * second;
   }
-  const int one = beside("one router told the whole", whole, slopes, of.json);
-  return std::max(one, beside("all routers", all, slopes, of.json));
+  const int one = beside("one router told the whole", whole, slopes, of);
+  return std::max(one, beside("all routers", all, slopes, of));
 }
 
 // A picture a part: how many times its first point each cost is, by how many times its first size.
@@ -362,6 +370,19 @@
       wrong = 1;
       std::cerr << cost.name << " at " << point.size << ": " << point.failed << '\n';
     }
+    if (points.size() < 3) {
+      for (const Point& point : points) {
+        for (const auto& [name, value] : point.figures)
+          std::cout << Json{{"cost", cost.name},
+                            {"figure", name},
+                            {"unit", cost.unit},
+                            {cost.varied, point.size},
+                            {"is", value}}
+                           .dump()
+                    << std::endl;
+      }
+      continue;
+    }
     for (Row& row : rows_of(cost, points)) {
       if (of.json) std::cout << json_of(row).dump() << std::endl;
       if (!of.json) print(row);
--- a/src/lab/scale.h
+++ b/src/lab/scale.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace rushhill::lab {
 
@@ -14,7 +15,9 @@
   bool list = false;   // names the costs and runs nothing
   bool size = false;   // instead: the runs near the size, beside what the slopes foretell
   bool small = false;  // the points that continuous integration runs
-  std::string plots;   // a folder for plots, drawn by gnuplot; empty: none
+  std::vector<double>
+      at{};           // these sizes instead of each cost's own; fewer than three are told without a line
+  std::string plots;  // a folder for plots, drawn by gnuplot; empty: none
 };
 
 int scale(const Scale& of);  // 1: something could not be measured
--- a/src/scale/costs.cpp
+++ b/src/scale/costs.cpp
@@ -504,6 +504,16 @@
   all.push_back({"module.memory-by-servers", memory, "module", "servers",
                  "15,000 functions by rank, 162 requests a second", servers, small_servers,
                  [=](double n, Counter& c) { return memory_cost(with(usual, &Sizes::servers, n), c); }});
+  all.push_back({"module.memory-by-servers-all-met",
+                 memory,
+                 "module",
+                 "servers",
+                 "14,400 functions in turn, 162 requests a second",
+                 servers,
+                 {16, 32, 64, 128, 256},
+                 [=](double n, Counter& c) {
+                   return memory_cost(with(with(in_turn, &Sizes::functions, 14'400), &Sizes::servers, n), c);
+                 }});
   all.push_back({"module.memory-by-functions-held", memory, "module", "functions held",
                  "250 servers, 162 requests a second in turn", held, small_functions,
                  [=](double n, Counter& c) {
