--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -360,6 +360,8 @@
                    "these sizes, ascending, instead of each cost's own; fewer than three give no line")
       ->delimiter(',')
       ->check(CLI::Range(1.0, 1e6));
+  on_scale->add_option("--from", scale_of.from,
+                       "measure nothing: table and plots of what --json printed into this file");
   on_scale->add_flag("--size", scale_of.size,
                      "instead: runs near the size to design for, beside what the slopes foretell");
   on_scale->add_flag("--small", scale_of.small, "smaller sizes, seconds instead of minutes");
--- a/src/lab/scale.cpp
+++ b/src/lab/scale.cpp
@@ -322,18 +322,20 @@
 // A picture a part: how many times its first point each cost is, by how many times its first size.
 int draw(const std::vector<Row>& rows, const std::string& folder) {
   std::filesystem::create_directories(folder);
+  static const std::set<std::string> growth{
+      "instructions", "instructions of the next request", "instructions of hearing", "bytes", "port bytes",
+      "messages"};
   std::map<std::string, std::vector<const Row*>> parts;
   for (const Row& row : rows) {
-    const bool shown = row.figure != "user ns" && row.figure != "resident" && row.fit.costs.front() > 0;
+    const bool shown = growth.contains(row.figure) && row.fit.costs.front() > 0;
     if (shown) parts[row.cost->name.substr(0, row.cost->name.find('.'))].push_back(&row);
   }
   for (const auto& [part, shown] : parts) {
     FILE* const plot = popen("gnuplot", "w");
     if (plot == nullptr) return std::cerr << "gnuplot does not start\n", 1;
     std::string text =
-        "set terminal svg size 900,560\nset output '" + folder + "/" + part +
-        ".svg'\nset logscale xy\nset grid\nset key outside bottom center vertical maxrows 12\nset title '" +
-        part +
+        "set terminal svg size 1200,620\nset output '" + folder + "/" + part +
+        ".svg'\nset logscale xy\nset grid\nset key outside right top vertical\nset title '" + part +
         ": times the first point, by times the first size'\nplot x dashtype 2 lc 'gray' title 'as the size'"
         ", x**2 dashtype 3 lc 'gray' title 'as its square'";
     for (const Row* row : shown)
@@ -353,11 +355,37 @@
 
 }  // namespace
 
+// What was measured before, from its lines of JSON.
+std::vector<Row> read_rows(const std::string& file) {
+  std::ifstream in(file);
+  if (!in.is_open()) throw std::runtime_error(file + ": cannot be read");
+  std::vector<Row> rows;
+  for (std::string line; std::getline(in, line);) {
+    const Json told = Json::parse(line, nullptr, false);
+    if (!told.is_object() || !told.contains("points")) continue;
+    for (const scale::Cost& cost : scale::costs()) {
+      if (cost.name != told.value("cost", "")) continue;
+      std::vector<double> sizes, values;
+      for (const Json& point : told.at("points")) {
+        sizes.push_back(point.at(0).get<double>());
+        values.push_back(point.at(1).get<double>());
+      }
+      rows.push_back({&cost, told.value("figure", ""), scale::fit(sizes, values)});
+    }
+  }
+  return rows;
+}
+
 int scale(const Scale& of) {
   if (of.size) return run_sizes(of);
   int wrong = 0;
   std::vector<Row> all;
-  if (!of.list && !of.json) print_head();
+  if (!of.list && !of.json && of.at.size() != 1 && of.at.size() != 2) print_head();
+  if (!of.from.empty()) {
+    const std::vector<Row> rows = read_rows(of.from);
+    for (const Row& row : rows) of.json ? void(std::cout << json_of(row).dump() << '\n') : print(row);
+    return of.plots.empty() ? 0 : draw(rows, of.plots);
+  }
   for (const scale::Cost& cost : scale::costs()) {
     if (cost.name.find(of.only) == std::string::npos) continue;
     if (of.list) {
--- a/src/lab/scale.h
+++ b/src/lab/scale.h
@@ -17,6 +17,7 @@
   bool small = false;  // the points that continuous integration runs
   std::vector<double>
       at{};           // these sizes instead of each cost's own; fewer than three are told without a line
+  std::string from;   // a file of what --json printed: told and drawn again, nothing is measured
   std::string plots;  // a folder for plots, drawn by gnuplot; empty: none
 };
 
