--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -364,6 +364,8 @@
                        "measure nothing: table and plots of what --json printed into this file");
   on_scale->add_flag("--size", scale_of.size,
                      "instead: runs near the size to design for, beside what the slopes foretell");
+  on_scale->add_flag("--faults", scale_of.faults,
+                     "instead: faults beside 680 hollow routers, and what they cost");
   on_scale->add_flag("--small", scale_of.small, "smaller sizes, seconds instead of minutes");
   on_scale->add_flag("--list", scale_of.list, "name the costs and what carries them; run nothing");
   on_scale->add_flag("--json", scale_of.json, "a line of JSON for each cost and figure");
--- a/src/lab/scale.cpp
+++ b/src/lab/scale.cpp
@@ -319,6 +319,32 @@
   return std::max(one, beside("all routers", all, slopes, of));
 }
 
+// Faults beside as many routers as run_sizes has.
+int run_faults(const Scale& of) {
+  constexpr Time second = 10'000;
+  scale::Size size{.sizes = {.servers = 1'000, .requests = 1.62},
+                   .routers = 680,
+                   .instances = 40'000,
+                   .lead = 40 * second,
+                   .measured = 30 * second};
+  if (of.small) size.sizes.servers = 120, size.sizes.requests = 4, size.routers = 24, size.instances = 4'800;
+  int wrong = 0;
+  for (const scale::Fault& fault : scale::faults(size)) {
+    if (fault.name.find(of.only) == std::string::npos) continue;
+    const Json found =
+        end(begin(true, [&](scale::Counter& counter) { return scale::run_fault(size, fault, counter); }));
+    if (found.contains("failed")) wrong = 1;
+    if (of.json) std::cout << Json{{"fault", fault.name}, {"found", found}}.dump() << std::endl;
+    if (of.json) continue;
+    std::cout << fault.name << ":";
+    for (const auto& [name, value] : found.items())
+      std::cout << "  " << name << ' '
+                << (value.is_number() ? figure_text(value.get<double>()) : value.dump());
+    std::cout << std::endl;
+  }
+  return wrong;
+}
+
 // A picture a part: how many times its first point each cost is, by how many times its first size.
 int draw(const std::vector<Row>& rows, const std::string& folder) {
   std::filesystem::create_directories(folder);
@@ -378,6 +404,7 @@
 
 int scale(const Scale& of) {
   if (of.size) return run_sizes(of);
+  if (of.faults) return run_faults(of);
   int wrong = 0;
   std::vector<Row> all;
   if (!of.list && !of.json && of.at.size() != 1 && of.at.size() != 2) print_head();
--- a/src/lab/scale.h
+++ b/src/lab/scale.h
@@ -8,13 +8,14 @@
 namespace rushhill::lab {
 
 struct Scale {
-  std::string only;    // costs whose names hold this; empty: all
-  int repeats = 3;     // runs of each point for user CPU, of which the least counts
-  int jobs = 2;        // points at once, a process each
-  bool json = false;   // a line each cost and figure
-  bool list = false;   // names the costs and runs nothing
-  bool size = false;   // instead: the runs near the size, beside what the slopes foretell
-  bool small = false;  // the points that continuous integration runs
+  std::string only;     // costs whose names hold this; empty: all
+  int repeats = 3;      // runs of each point for user CPU, of which the least counts
+  int jobs = 2;         // points at once, a process each
+  bool json = false;    // a line each cost and figure
+  bool list = false;    // names the costs and runs nothing
+  bool size = false;    // instead: the runs near the size, beside what the slopes foretell
+  bool faults = false;  // instead: faults beside many routers
+  bool small = false;   // the points that continuous integration runs
   std::vector<double>
       at{};           // these sizes instead of each cost's own; fewer than three are told without a line
   std::string from;   // a file of what --json printed: told and drawn again, nothing is measured
--- a/src/scale/hollow.cpp
+++ b/src/scale/hollow.cpp
@@ -13,6 +13,7 @@
 constexpr Time second = 10'000;           // tenths of a millisecond
 constexpr Time work = 200;                // time; an answer where a copy stands, 20 ms
 constexpr Time load = 4'000;              // time; until a copy stands, within the 0.45 s of a cold start
+constexpr Time cold_target = 4'500;       // time; a cold start, as told
 constexpr Time copy_life = 600 * second;  // time; an instance lives some 10 minutes
 constexpr Time latency_target = 7'500;    // time; as the fleets played elsewhere
 constexpr Time deadline = 25'000;         // time; likewise
@@ -39,15 +40,19 @@
   return text;
 }
 
+std::string location_of(int number) {
+  const int zone = number % zones;
+  char text[32];
+  std::snprintf(text, sizeof text, "region-%d/zone-%d", zone % regions, zone);
+  return text;
+}
+std::string region_of(const std::string& location) { return location.substr(0, location.find('/')); }
+
 std::vector<ModelServer> server_list(int servers) {
   std::vector<ModelServer> list;
   for (int i = 0; i < servers; ++i) {
-    const int zone = i % zones;
-    list.push_back({.id = server_name(i),
-                    .rating = 2,
-                    .kind = "std",
-                    .location = "region-" + std::to_string(zone % regions) + "/zone-" + std::to_string(zone),
-                    .cell = i / rack});
+    list.push_back(
+        {.id = server_name(i), .rating = 2, .kind = "std", .location = location_of(i), .cell = i / rack});
   }
   return list;
 }
@@ -222,6 +227,19 @@
 HollowServers::~HollowServers() = default;
 standin::Machine& HollowServers::at(const ServerId& server) { return *machines_.at(server); }
 
+void HollowServers::stop(const ServerId& server) {
+  stopped_.insert(server);
+  at(server).stop();
+}
+void HollowServers::start(const ServerId& server) {
+  stopped_.erase(server);
+  at(server).start(true);
+}
+bool HollowServers::reached(const std::string& region, const ServerId& server) const {
+  return !stopped_.contains(server) &&
+         !(parted_ && region_of(machines_.at(server)->make().location) != region);
+}
+
 std::vector<core::RosterEntry> HollowServers::list() const {
   std::vector<core::RosterEntry> entries;
   for (ModelServer& server : server_list(static_cast<int>(machines_.size())))
@@ -231,7 +249,7 @@
 
 HollowRouter::HollowRouter(const Deployment& deployment, HollowServers& servers, core::Peers& peers,
                            std::uint64_t seed)
-    : servers_(servers),
+    : servers_(servers), region_(region_of(deployment.location)),
       gateway_(deployment, seed,
                {.clock = servers.clock(), .carrier = *this, .peers = peers, .roster = *this, .diary = *this}),
       source_(gateway_.add_source(1)) {}
@@ -252,23 +270,46 @@
 
 void HollowRouter::shoot(const core::ShotCall& call) {
   const auto [open, first] = open_.try_emplace(call.event, calling_, servers_.clock().now());
-  standin::Machine& machine = servers_.at(call.server);
   const std::pair key{call.event, call.leg};
   const Time now = servers_.clock().now();
+  if (!servers_.reached(region_, call.server)) {
+    jobs_[key] = {call.server, 0};
+    servers_.clock().at(now + connect_limit, [this, key, alive = std::weak_ptr(life_)] {
+      if (alive.expired() || jobs_.erase(key) == 0) return;
+      gateway_.shot_ended(key.first, key.second,
+                          {.ending = Ending::no_connection, .report = {}, .reply = {}});
+    });
+    return;
+  }
   const auto done = [this, key, alive = std::weak_ptr(life_)](const standin::Machine::End& end) {
     servers_.clock().soon([this, key, end, alive] {
-      if (alive.expired()) return;
-      jobs_.erase(key);
-      const Ending ending = end.fate == standin::Fate::ran ? Ending::honoured : Ending::turned_away;
-      gateway_.shot_ended(
-          key.first, key.second,
-          {.ending = ending, .warmth = end.warmth, .crowd = end.crowd, .report = {}, .reply = {}});
+      if (!alive.expired()) hear(key, end);
     });
   };
-  const auto job = machine.take(
-      {&servers_.function(open->second.first), work, now + call.left}, [] {}, done);
+  const auto job = servers_.at(call.server)
+                       .take(
+                           {&servers_.function(open->second.first), work, now + call.left}, [] {}, done);
   jobs_[key] = {call.server, job};
 }
+void HollowRouter::hear(const std::pair<EventId, int>& attempt, const standin::Machine::End& end) {
+  const auto it = jobs_.find(attempt);
+  if (it == jobs_.end()) return;
+  const bool reached = servers_.reached(region_, it->second.first);
+  jobs_.erase(it);
+  if (!reached) return;  // the answer is lost on its way
+  const bool ran = end.fate == standin::Fate::ran;
+  const auto open = open_.find(attempt.first);
+  if (ran && end.warmth != Warmth::found && open != open_.end()) {
+    ++cold;
+    cold_in_time += servers_.clock().now() - open->second.second <= cold_target ? 1 : 0;
+  }
+  gateway_.shot_ended(attempt.first, attempt.second,
+                      {.ending = ran ? Ending::honoured : Ending::turned_away,
+                       .warmth = end.warmth,
+                       .crowd = end.crowd,
+                       .report = {},
+                       .reply = {}});
+}
 void HollowRouter::drop(EventId event, int leg) {
   const auto it = jobs_.find({event, leg});
   if (it == jobs_.end()) return;
@@ -299,7 +340,7 @@
   in_time += servers_.clock().now() - it->second.second <= latency_target ? 1 : 0;
   open_.erase(it);
 }
-void HollowRouter::shed(EventId event, Time) { open_.erase(event); }
-void HollowRouter::abandoned(EventId event) { open_.erase(event); }
+void HollowRouter::shed(EventId event, Time) { given_up += open_.erase(event) > 0 ? 1 : 0; }
+void HollowRouter::abandoned(EventId event) { given_up += open_.erase(event) > 0 ? 1 : 0; }
 
 }  // namespace rushhill::scale
--- a/src/scale/hollow.h
+++ b/src/scale/hollow.h
@@ -20,6 +20,9 @@
 
 namespace rushhill::scale {
 
+// Time until a connection that does not come up is given up; as the node's where none is told.
+constexpr Time connect_limit = 2'500;
+
 // What a router lives in. One of these is varied at a time.
 struct Sizes {
   int servers = 1'000;
@@ -32,6 +35,8 @@
 };
 
 std::string server_name(int number);
+std::string location_of(int number);  // zone and region, by turns, of servers and of routers
+std::string region_of(const std::string& location);
 std::string function_name(int number);
 std::vector<ModelServer> server_list(int servers);
 Deployment deployment_of(const Sizes& sizes);
@@ -119,12 +124,21 @@
   const standin::FunctionMake& function(const std::string& name) const { return functions_.at(name); }
   core::Clockwork& clock() { return clock_; }
   std::vector<core::RosterEntry> list() const;
+  // A machine that is gone is silent: what it had in hand is never heard of, and no connection comes up.
+  void stop(const ServerId& server);
+  void start(const ServerId& server);  // cold
+  bool stopped(const ServerId& server) const { return stopped_.contains(server); }
+  // From now on, or no longer, nothing passes between routers and servers of different regions.
+  void part_regions(bool on) { parted_ = on; }
+  bool reached(const std::string& region, const ServerId& server) const;
 
  private:
   core::Clockwork& clock_;
   standin::Store store_;
   std::map<std::string, standin::FunctionMake> functions_;
   std::map<ServerId, std::unique_ptr<standin::Machine>> machines_;
+  std::set<ServerId> stopped_;
+  bool parted_ = false;
 };
 
 // Core and module; its connections to servers and clients are calls.
@@ -138,10 +152,12 @@
 
   bool request(const std::string& function, EventId number);  // false: no room
   core::Gateway& gateway() { return gateway_; }
-  std::int64_t answered = 0, in_time = 0;
+  std::int64_t answered = 0, in_time = 0, given_up = 0;  // requests
+  std::int64_t cold = 0, cold_in_time = 0;  // answers that waited for a load; of these, within 0.45 s
 
  private:
   void shoot(const core::ShotCall& call) override;
+  void hear(const std::pair<EventId, int>& attempt, const standin::Machine::End& end);
   void drop(EventId event, int leg) override;
   bool recall(EventId, int) override { return false; }
   void recall_all(const ServerId&) override {}
@@ -162,7 +178,7 @@
   std::map<EventId, std::pair<std::string, Time>> open_;  // function, when it came
   std::map<std::pair<EventId, int>, std::pair<ServerId, standin::Machine::JobId>> jobs_;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
-  std::string calling_;
+  std::string calling_, region_;
   core::Gateway gateway_;
   taking::Shares::Source source_;
 };
--- a/src/scale/size.h
+++ b/src/scale/size.h
@@ -19,4 +19,16 @@
 // router's.
 Figures run_at(const Size& size, Counter& counter);
 
+// What goes wrong during `span`, after the lead, and when the routers are told of it, here and of its end.
+struct Fault {
+  std::string name{};
+  enum class Kind { servers, regions_apart, routers_restart } kind = Kind::servers;
+  int first = 0, every = 1, count = 0;  // the servers, or the routers
+  Time span = 0;
+  Time told_after = 0;  // 0: nobody tells, as when discovery is down
+};
+std::vector<Fault> faults(const Size& size);
+// Requests from the fault's begin on, seconds until all are answered in time again, and the dearest second.
+Figures run_fault(const Size& size, const Fault& fault, Counter& counter);
+
 }  // namespace rushhill::scale
