--- a/src/membership/roster_words.cpp
+++ b/src/membership/roster_words.cpp
@@ -135,13 +135,18 @@
   if (word.form != RosterForm::changes) entries_.clear();
   revision_ = word.revision;
   for (const core::RosterEntry& entry : word.entries) {
-    std::erase_if(entries_, [&](const auto& known) { return known.server.id == entry.server.id; });
-    if (entry.server.condition != Condition::left) entries_.push_back(entry);
+    if (entry.server.condition == Condition::left) {
+      entries_.erase(entry.server.id);
+    } else {
+      entries_.insert_or_assign(entry.server.id, entry);
+    }
   }
 }
 
 RosterWord Remembered::whole() const {
-  return {.form = RosterForm::remembered, .revision = revision_, .entries = entries_};
+  RosterWord word{.form = RosterForm::remembered, .revision = revision_, .entries = {}};
+  for (const auto& [id, entry] : entries_) word.entries.push_back(entry);
+  return word;
 }
 
 }  // namespace rushhill::membership
--- a/src/membership/roster_words.h
+++ b/src/membership/roster_words.h
@@ -1,6 +1,7 @@
 // The roster's messages without any transport: one JSON object a line. docs/roster.md is the contract.
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,7 +30,7 @@
   RosterWord whole() const;
 
  private:
-  std::vector<core::RosterEntry> entries_;
+  std::map<ServerId, core::RosterEntry> entries_;
   std::int64_t revision_ = 0;
 };
 
