--- a/src/transport/bare_peers.cpp
+++ b/src/transport/bare_peers.cpp
@@ -1,6 +1,5 @@
 #include "transport/bare_peers.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace rushhill::transport {
@@ -15,7 +14,10 @@
     : me_(me), heard_(std::move(heard)),
       datagrams_(reactor, listen,
                  [this](const Address& from, std::string_view bytes) { hear(from, bytes); }) {
-  for (const std::string& address : addresses) addresses_.push_back(numeric_address(address));
+  for (const std::string& address : addresses) {
+    addresses_.push_back(numeric_address(address));
+    routers_.try_emplace(addresses_.back(), static_cast<int>(addresses_.size()) - 1);
+  }
   if (!all.empty()) all_ = numeric_address(all);
 }
 
@@ -31,10 +33,8 @@
 
 void BarePeers::hear(const Address& from, std::string_view bytes) {
   if (bytes.size() > most_bytes) return;
-  const auto it = std::ranges::find(addresses_, from);
-  if (it == addresses_.end()) return;
-  const int router = static_cast<int>(it - addresses_.begin());
-  if (router != me_) heard_(router, std::string(bytes));
+  const auto it = routers_.find(from);
+  if (it != routers_.end() && it->second != me_) heard_(it->second, std::string(bytes));
 }
 
 }  // namespace rushhill::transport
--- a/src/transport/bare_peers.h
+++ b/src/transport/bare_peers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +29,7 @@
 
   int me_;
   std::vector<Address> addresses_;
+  std::map<Address, int> routers_;  // by address; of one that stands twice, the first
   std::optional<Address> all_;
   Heard heard_;
   Datagrams datagrams_;
