Tests: orders are permitted only in the story that waits for a load

The stories of what is owed had got the permission to order loads all together with the new one; the older ones play again with the settings that they had.

--- a/tests/node/owed_test.cpp
+++ b/tests/node/owed_test.cpp
@@ -45,8 +45,8 @@
   "permissions":{"cancel":)" +
          told.cancel + R"(,"send-cap":5,"open-cap":20000,"multiplex":)" + told.multiplex +
          R"(,"conn-idle":15000000000,"connect-timeout":)" + told.connect_timeout + R"(},
-  "family-info":{"marks-cold":true,"keep":10000000000,"answer-within":2000000000,"placement-calls":true,"not-loaded":")" +
-         told.not_loaded + R"("}}})";
+  "family-info":{"marks-cold":true,"keep":10000000000,"answer-within":2000000000,"placement-calls":)" +
+         (told.not_loaded == "miss" ? "true" : "false") + R"(,"not-loaded":")" + told.not_loaded + R"("}}})";
 }
 
 std::string notice(int number, const std::string& hosts) {
