Discovery that was away for long is heard again within 3 s of its return, also where it vanished

Sound: routers go on with the last list, servers that died are left alone by their connections' failures alone, and what the list says on its return is obeyed at once. Faulty, in membership/roster_client.cpp (`rushhill serve`): the pause between tries grew to 16 s and up to half as much again; a connection that did not come up was left to the system, whose tries come to lie ever further apart; and one whose other end had vanished stood open without a word for ever, since the words of a quiet list are none. Change: pauses of 2 s at most, or `retry` where it is longer; a connection gets 1 s to come up; the system asks on a quiet one whether its peer is there (keepalive after 5 s, three questions, and the same bound for what is not taken). Each without the change: UnreachableList.AfterAnHour... is not told within 3 s, AConnectionThatDoesNotComeUp... not within 2.5 s of room in the queue, Following.TheSystemAsks... sees no keepalive timer on the connection. An end that vanishes cannot be had on loopback; that the system closes the connection then is its word, not run.

--- a/src/membership/roster_client.cpp
+++ b/src/membership/roster_client.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 constexpr std::size_t longest_line = 32 * 1024 * 1024;  // bytes; 100,000 servers and their fields
-constexpr int most_doublings = 5;                       // of the pause between tries; 32 times the first
+constexpr Time open_limit =
+    10'000;  // tenths of a millisecond; the system's own tries come to lie a minute apart
+constexpr Time longest_pause =
+    20'000;  // likewise, before the next try; what has left meanwhile is heard so late
 
 }  // namespace
 
@@ -43,6 +46,11 @@
   reactor_.withdraw(again_);
   in_.clear();
   stream_ = transport::Stream::connect(reactor_, address_, *this);
+  stream_->keepalive();
+  again_ = reactor_.at(reactor_.now() + open_limit, [this] {
+    stream_->close();
+    broke();
+  });
 }
 
 void RosterClient::ask(const char* what) {
@@ -51,6 +59,7 @@
 
 void RosterClient::opened() {
   open_ = true;
+  reactor_.withdraw(again_);
   if (following_) ask("follow");
   if (std::exchange(reload_due_, false) && !following_) ask("reload");
 }
@@ -88,11 +97,12 @@
 
 void RosterClient::broke() {
   open_ = false;
+  reactor_.withdraw(again_);
   reactor_.soon([gone = std::move(stream_)] {});
   stream_.reset();
   heard_(RosterForm::failed, {});
   // Doubling pauses, each with a part by chance, so that many routers do not come back in one moment.
-  const Time pause = retry_ << std::min(failures_++, most_doublings);
+  const Time pause = std::min(retry_ << std::min(failures_++, 8), std::max(longest_pause, retry_));
   const double part = 0.5 + static_cast<double>(chance_()) / static_cast<double>(chance_.max());
   if (following_ || reload_due_)
     again_ = reactor_.at(reactor_.now() + static_cast<Time>(static_cast<double>(pause) * part),
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -5,6 +5,8 @@
 #include <Poco/Net/SocketImpl.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,6 +27,9 @@
 constexpr int accepted_at_once = 64;  // connections a turn, so that open ones get their part
 constexpr int heard_at_once = 64;     // datagrams a turn, likewise
 constexpr Time accept_rest = 100;     // tenths of a millisecond, when the process has no descriptor left
+constexpr int keepalive_idle = 5;  // seconds without a word until the system asks whether the peer is there
+constexpr int keepalive_interval = 1;        // seconds between two such questions
+constexpr int keepalive_probes = 3;          // questions without an answer that end the connection
 constexpr std::size_t most_datagram = 2048;  // bytes; far above what peers may send
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
@@ -154,6 +159,7 @@
   void close() override;
   void reset() override;
   bool closed() const override { return user_ == nullptr; }
+  void keepalive() override;
 
  private:
   void on_readable() override;
@@ -386,6 +392,19 @@
   close();
 }
 
+void Loop::SocketStream::keepalive() {
+  if (closed()) return;
+  const auto set = [this](int level, int name, int value) {
+    setsockopt(descriptor(socket_), level, name, &value, sizeof value);
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval);
+  set(IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+  // The same bound for what we have written and the peer has not taken.
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, 1000 * (keepalive_idle + keepalive_probes * keepalive_interval));
+}
+
 void Loop::SocketListener::on_readable() {
   for (int i = 0; i < accepted_at_once && take(); ++i) {}
 }
--- a/src/transport/reactor.h
+++ b/src/transport/reactor.h
@@ -70,6 +70,8 @@
   virtual void close() = 0;   // no further call to the user; what waits is dropped
   virtual void reset() = 0;   // the same, and the peer sees a reset
   virtual bool closed() const = 0;
+  // From now on a peer that has gone without a word is noticed, also while nothing is said.
+  virtual void keepalive() {}
 };
 
 // What a listener or a datagrams' end keeps open while it lives.
--- a/tests/membership/roster_test.cpp
+++ b/tests/membership/roster_test.cpp
@@ -1,8 +1,12 @@
 // The roster's words, right and wrong, and what a router does when its source breaks.
+#include <Poco/Net/ServerSocket.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 
+#include "emulator/network.h"
 #include "loopback.h"
 #include "membership/roster_client.h"
 #include "transport/loop.h"
@@ -143,5 +147,80 @@
   EXPECT_EQ(heard.size(), 1U);
 }
 
+// Discovery that cannot be reached for long.
+struct Client {
+  Client(transport::Reactor& reactor, const transport::Address& address, Time retry)
+      : client(reactor, address, 4, retry, 1, silent,
+               [this](RosterForm form, const std::vector<core::RosterEntry>&) { heard.push_back(form); }) {
+    client.follow(true);
+  }
+  bool told() const { return !heard.empty() && heard.back() == RosterForm::complete; }
+  Silent silent;
+  std::vector<RosterForm> heard;
+  RosterClient client;
+};
+const std::string list = "{\"form\":\"complete\",\"servers\":[]}\n";
+
+TEST(UnreachableList, AfterAnHourItIsAskedForWithinThreeSecondsOfItsReturn) {
+  emulator::Network network{2};
+  const auto place = network.hold(transport::numeric_address("127.0.0.1:0"));
+  Client away(network, place->address(), 5'000);
+  network.run_until(network.now() + 3'600 * 10'000);
+  EXPECT_GT(away.heard.size(), 1'000U);
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  const transport::Listener back(network, place->address(), true, [&](const transport::Arrival& arrival) {
+    peers.push_back(std::make_unique<RawPeer>(network, arrival));
+    peers.back()->stream->write(list);
+  });
+  network.run_until(network.now() + 30'000 + 100);
+  EXPECT_TRUE(away.told());
+}
+
+// A connection that never comes up: the system's own tries lie further and further apart, 4 s and more from
+// the seventh second on, and the list may return just after one of these.
+TEST(UnreachableList, AConnectionThatDoesNotComeUpIsGivenUpAndTriedAnew) {
+  transport::Loop reactor;
+  Pump pump{reactor};
+  Poco::Net::ServerSocket full;  // a queue of one that is taken: further handshakes get no answer
+  full.bind(transport::numeric_address("127.0.0.1:0"));
+  full.listen(0);
+  const Poco::Net::StreamSocket fills(full.address());
+  Client client(reactor, full.address(), 50);
+  pump.pass(75'000);
+  EXPECT_FALSE(client.told());
+  std::vector<Poco::Net::StreamSocket> taken;
+  const bool told = pump.until(
+      [&] {
+        while (full.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+          taken.push_back(full.acceptConnection());
+          if (taken.size() > 1) taken.back().sendBytes(list.data(), static_cast<int>(list.size()));
+        }
+        return client.told();
+      },
+      25'000);
+  EXPECT_TRUE(told);
+}
+
+// Whether the system asks on a connection to the port whether its peer is there (timer 2 of /proc/net/tcp).
+bool kept_alive(int port) {
+  std::ostringstream suffix;
+  suffix << ':' << std::uppercase << std::hex << port;
+  std::ifstream in("/proc/net/tcp");
+  for (std::string line; std::getline(in, line);) {
+    std::istringstream words(line);
+    std::string number, local, remote, state, queues, timer;
+    words >> number >> local >> remote >> state >> queues >> timer;
+    if (remote.ends_with(suffix.str()) && state == "01" && timer.starts_with("02")) return true;
+  }
+  return false;
+}
+
+// Discovery's machine vanishes and the connection stays open without a word, as a quiet list's does.
+TEST_F(Following, TheSystemAsksWhetherAQuietListIsStillThere) {
+  ASSERT_TRUE(pump.until([&] { return heard.size() == 1; }));
+  const int port = transport::numeric_address(server.address()).port();
+  EXPECT_TRUE(pump.until([&] { return kept_alive(port); }, 10'000));
+}
+
 }  // namespace
 }  // namespace rushhill::membership
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -1,6 +1,7 @@
 // A whole router on the platform, on loopback: FastCGI in, lines out, a notice board by hand.
 #include "node/node.h"
 
+#include "emulator/network.h"
 #include "loopback.h"
 
 namespace rushhill::node {
@@ -224,5 +225,79 @@
   EXPECT_EQ(fault(good, "{", "["), "not JSON");
 }
 
+// The notice board is away for ten minutes of emulated time. Meanwhile one server dies, which only
+// connections tell; as the board returns it says that the other one leaves.
+TEST(UnreachableBoard, TheLastListStandsADeadServerIsLeftAloneAndItsReturnIsObeyedAtOnce) {
+  constexpr Time second = 10'000;
+  emulator::Network network{2};
+  Silent silent;
+  const auto serve = [](RawPeer& peer) {
+    for (std::size_t at = 0; (at = peer.seen.find("invoke ", at)) != std::string::npos; at += 7)
+      peer.stream->write(peer.seen.substr(at + 7, 16) + " HIT remark=reused 2\r\nok\r\n");
+    peer.seen.clear();
+  };
+  auto doomed = std::make_unique<RawServer>(network), board = std::make_unique<RawServer>(network);
+  RawServer staying(network), fresh(network);
+  int at_staying = 0, at_fresh = 0;
+  doomed->on_bytes = serve;
+  staying.on_bytes = [&](RawPeer& peer) { ++at_staying, serve(peer); };
+  fresh.on_bytes = [&](RawPeer& peer) { ++at_fresh, serve(peer); };
+  const auto host = [](const std::string& id, const std::string& dial, const std::string& health) {
+    return R"({"host":")" + id + R"(","dial":")" + dial +
+           R"(","site":"old","class":"std","block":0,"health":")" + health + R"(","share":1,"born_ms":0})";
+  };
+  const transport::Address board_at = transport::numeric_address(board->address());
+  std::string told = configuration(board->address(), staying.address());
+  const std::size_t hosts = told.find(R"("hosts":[)") + 9;
+  told.insert(hosts, host("doomed", doomed->address(), "active") + ",");
+  Node router{network, read_configuration(told), silent};
+  RawPeer front(network, router.address());
+  int asked = 0;
+  const auto ask_one = [&] {
+    const std::string number = std::to_string(1'000'000 + asked++);
+    front.stream->write(
+        fastcgi::write_request(static_cast<fastcgi::Number>(1 + asked % 9),
+                               {.params = {{"SCRIPT_NAME", "/ops/date-lookup"},
+                                           {"HTTP_X_JOB_ID", "9b1f03aa5" + number},
+                                           {"HTTP_X_ALLOW_MS", "2500"},
+                                           {"HTTP_X_TEAM", "acme"},
+                                           {"HTTP_X_ITEM", "7f3a9c21e" + number},
+                                           {"HTTP_X_FACTS", "memory_mb:512;lanes:2;load_ms:300"},
+                                           {"CONTENT_LENGTH", "0"}},
+                                .body = "",
+                                .keep = true}));
+    network.run_until(network.now() + second / 2);
+  };
+  const auto& tally = router.gateway().tally();
+  while (asked < 20) ask_one();
+  board.reset();
+  while (asked < 240) ask_one();
+  EXPECT_GT(at_staying, 20);
+  EXPECT_LT(at_staying, 220) << "the last list stands, with both";
+  doomed.reset();
+  while (asked < 1'220) ask_one();
+  EXPECT_EQ(tally.honoured, static_cast<std::uint64_t>(asked));
+  const auto refused = tally.endings[static_cast<std::size_t>(Ending::no_connection)];
+  EXPECT_GT(refused, 0U);
+  EXPECT_LT(refused, 150U) << "of some 500 that would have gone there";
+  const Time back = network.now();
+  std::vector<std::unique_ptr<RawPeer>> watches;
+  const transport::Listener returned(network, board_at, true, [&](const transport::Arrival& arrival) {
+    watches.push_back(std::make_unique<RawPeer>(network, arrival));
+  });
+  while (watches.empty() && network.now() < back + 10 * second) network.run_until(network.now() + 10);
+  ASSERT_FALSE(watches.empty());
+  EXPECT_LT(network.now() - back, second);
+  watches[0]->stream->write(
+      R"({"rev":2,"pool":{"seq":2,"whole":false,"hosts":[)" + host("s1", staying.address(), "leaving") + "," +
+      host("doomed", "127.0.0.1:1", "left") + "," + host("fresh", fresh.address(), "active") + "]}}\n");
+  network.run_until(network.now() + 20);
+  const int last = at_staying;
+  for (int i = 0; i < 40; ++i) ask_one();
+  EXPECT_EQ(at_staying, last);
+  EXPECT_EQ(at_fresh, 40);
+  EXPECT_EQ(tally.honoured, static_cast<std::uint64_t>(asked));
+}
+
 }  // namespace
 }  // namespace rushhill::node
--- a/tests/router/router_test.cpp
+++ b/tests/router/router_test.cpp
@@ -75,7 +75,7 @@
     fleet->play(start);
     board->play(start);
     clients.play(start);
-    ASSERT_TRUE(pump.until([&] { return over; }, 900'000));
+    ASSERT_TRUE(pump.until([&] { return over; }, day.span() + 900'000));
     fleet->close();
     record->flush();
     std::ifstream in(file);
@@ -183,6 +183,44 @@
   EXPECT_GE(complete, 2);  // asked again after the break
 }
 
+// Discovery is away for nine minutes. Meanwhile one server dies, which only connections tell, and another is
+// told to drain, which nobody can tell.
+TEST(Router, WithoutDiscoveryForLongTheLastListStandsDeadServersAreLeftAloneAndItsReturnIsObeyedAtOnce) {
+  constexpr Time second = 10'000, away_at = 10 * second, away_for = 540 * second;
+  Day day = small_day();
+  day.events = 1'200;
+  day.rate = 2;
+  const std::string dead = day.servers[0].id, drained = day.servers[1].id;
+  day.troubles = {{TroubleKind::roster_break, away_at, away_for, 1, {}},
+                  {TroubleKind::crash, 60 * second, 800 * second, 1, {dead}},
+                  {TroubleKind::drain, 200 * second, 800 * second, 1, {drained}}};
+  Scene scene(day);
+  const std::int64_t start = scene.reactor.clock_ns();
+  scene.play();
+  EXPECT_TRUE(scene.verdict.good()) << checker::as_text(scene.verdict);
+  EXPECT_GT(scene.verdict.outcomes["honoured"], 1'180) << checker::as_text(scene.verdict);
+  const std::int64_t back = start + (away_at + away_for) * 100'000, at_once = 10'000'000;  // nanoseconds
+  std::int64_t told = 0;
+  for (const auto& line : scene.seen) {
+    if (line.value("what", "") == "told" && line.value("at", std::int64_t{0}) >= back && told == 0)
+      told = line.value("at", std::int64_t{0});
+  }
+  ASSERT_GT(told, 0);
+  EXPECT_LT(told - back, std::int64_t{3'100'000'000}) << "asked for again soon after the return";
+  int before = 0;
+  for (const auto& line : scene.seen) {
+    if (line.value("what", "") != "shot" || line.value("server", "") != drained) continue;
+    const std::int64_t at = line.value("at", std::int64_t{0});
+    before += at < told ? 1 : 0;
+    EXPECT_LT(at, told + at_once) << line.dump();
+  }
+  EXPECT_GT(before, 100) << "believed as last told while nobody can tell otherwise";
+  const auto refused =
+      scene.router->gateway().tally().endings[static_cast<std::size_t>(Ending::no_connection)];
+  EXPECT_GT(refused, 0U);
+  EXPECT_LT(refused, 60U) << "of some 270 that would have gone there in nine minutes";
+}
+
 TEST(Router, ARememberedListServesWhileTheRosterIsAway) {
   const std::string file =
       testing::TempDir() + "rushhill-remembered-" + std::to_string(transport::monotonic_ns());
