Test pump: a loop that never had a turn ends too

Cause: Pump::park waited for a turn also while the pump was ending, so that a story whose first question held at once hung in its destructor.

--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -59,9 +59,11 @@
  private:
   void park() {
     std::unique_lock lock(mutex_);
-    loops_turn_ = false;
-    wait_.notify_all();
-    wait_.wait(lock, [this] { return loops_turn_; });
+    if (!ending_) {
+      loops_turn_ = false;
+      wait_.notify_all();
+      wait_.wait(lock, [this] { return loops_turn_; });
+    }
     lock.unlock();
     if (!ending_) return;
     reactor_.forget_all();
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -139,5 +139,10 @@
   EXPECT_EQ(order, "ccccccccooooooooa");
 }
 
+TEST(PumpStory, ALoopThatNeverHadATurnEndsToo) {
+  Loop reactor;
+  const Pump pump{reactor};
+}
+
 }  // namespace
 }  // namespace rushhill::transport
