--- a/src/membership/roster_client.cpp
+++ b/src/membership/roster_client.cpp
@@ -45,6 +45,7 @@
   reactor_.withdraw(again_);
   in_.clear();
   stream_ = transport::Stream::connect(reactor_, address_, *this);
+  stream_->keepalive();
   again_ = reactor_.at(reactor_.now() + open_limit, [this] {
     stream_->close();
     broke();
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -5,6 +5,8 @@
 #include <Poco/Net/SocketImpl.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -29,6 +31,9 @@
 constexpr std::size_t most_a_turn = 1024 * 1024;  // bytes of one that came to us; all its open requests fit
 constexpr Time sight = 500;        // tenths of a millisecond; half of what a client is owed that has left
 constexpr Time accept_rest = 100;  // tenths of a millisecond, when there is no room or no descriptor left
+constexpr int keepalive_idle = 5;  // seconds without a word until the system asks whether the peer is there
+constexpr int keepalive_interval = 1;        // seconds between two such questions
+constexpr int keepalive_probes = 3;          // questions without an answer that end the connection
 constexpr std::size_t most_datagram = 2048;  // bytes; far above what peers may send
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
@@ -180,6 +185,7 @@
   void reset() override;
   bool closed() const override { return user_ == nullptr; }
   void send_deferred();
+  void keepalive() override;
 
  private:
   void on_readable() override;
@@ -442,6 +448,19 @@
   close();
 }
 
+void Loop::SocketStream::keepalive() {
+  if (closed()) return;
+  const auto set = [this](int level, int name, int value) {
+    setsockopt(descriptor(socket_), level, name, &value, sizeof value);
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval);
+  set(IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+  // The same bound for what we have written and the peer has not taken.
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, 1000 * (keepalive_idle + keepalive_probes * keepalive_interval));
+}
+
 void Loop::SocketListener::on_readable() {
   for (int i = 0; i < accepted_at_once && take(); ++i) {}
 }
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -262,5 +262,10 @@
   EXPECT_EQ(room, 4) << "no room is made for nobody";
 }
 
+TEST(PumpStory, ALoopThatNeverHadATurnEndsToo) {
+  Loop reactor;
+  const Pump pump{reactor};
+}
+
 }  // namespace
 }  // namespace rushhill::transport
