--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -117,7 +117,7 @@
 class RawServer {
  public:
   explicit RawServer(transport::Reactor& reactor, const std::string& at = "127.0.0.1:0")
-      : listener(reactor, transport::numeric_address(at), false,
+      : listener(reactor, transport::numeric_address(at), at != "127.0.0.1:0",  // shared with who holds it
                  [this, &reactor](const transport::Arrival& arrival) {
                    peers.push_back(std::make_unique<RawPeer>(reactor, arrival));
                    RawPeer& peer = *peers.back();
--- a/tests/node/descriptors_test.cpp
+++ b/tests/node/descriptors_test.cpp
@@ -97,8 +97,7 @@
   DescriptorStory() {
     raise_descriptors();
     server.on_bytes = [this](RawPeer& peer) { answer(peer); };
-    board = std::make_unique<RawServer>(reactor);
-    board_address = board->address();
+    board = std::make_unique<RawServer>(reactor, board_address);
     tell(board_address);
   }
   ~DescriptorStory() override { std::remove(path.c_str()); }
@@ -173,7 +172,11 @@
   Pump pump{reactor};
   RawServer server{reactor};
   std::unique_ptr<RawServer> board;
-  std::string board_address, path = testing::TempDir() + "descriptors-" + std::to_string(getpid()) + ".json";
+  // Held, so that nobody else is given the address while discovery is away.
+  const std::unique_ptr<transport::Place> board_place =
+      reactor.hold(transport::numeric_address("127.0.0.1:0"));
+  const std::string board_address = board_place->address().toString(),
+                    path = testing::TempDir() + "descriptors-" + std::to_string(getpid()) + ".json";
   std::vector<std::pair<RawPeer*, std::string>> waiting;
   std::unique_ptr<Process> program;
   transport::Address address;
--- a/tests/node/restart_test.cpp
+++ b/tests/node/restart_test.cpp
@@ -67,16 +67,21 @@
 const std::string alive = fastcgi::write_request(1, {.params = {{"SCRIPT_NAME", "/alive"}}, .keep = true});
 constexpr const char* held_id = "cccccccccccccccc";  // a request that gets no answer yet
 
-// Bound and free again: addresses that a router may have.
-std::string free_address(transport::Loop& reactor) { return RawServer(reactor).address(); }
+// An address that nobody else on the machine is given while the story lasts, for clients and for datagrams.
+class Held {
+ public:
+  explicit Held(transport::Loop& reactor) : place_(reactor.hold(transport::numeric_address("127.0.0.1:0"))) {}
+  std::string address() const { return place_->address().toString(); }
+
+ private:
+  std::unique_ptr<transport::Place> place_;
+};
 
 class RestartStory : public testing::Test {
  protected:
   RestartStory() {
     raise_descriptors();
     server.on_bytes = [](RawPeer& peer) { answer(peer); };
-    listen = free_address(reactor);
-    peers = free_address(reactor);
   }
   ~RestartStory() override {
     for (const std::string& path : paths) std::remove(path.c_str());
@@ -104,13 +109,14 @@
   struct Start {
     double ready = -1, decided = -1;
   };
-  // A client that asks, and asks again on a new connection where it got nothing.
+  // A client that asks, and asks again on a new connection where it got nothing, or was refused.
   class Asker {
    public:
     Asker(const std::string& to, std::string bytes) : to_(to), bytes_(std::move(bytes)) {}
     bool answered(Time now) {
       if (caller_ && caller_->seen().find("Status: 200") != std::string::npos) return true;
-      if (!caller_ || caller_->closed() || now - since_ > answered_within_ms * 10) {
+      const bool answered_otherwise = caller_ && caller_->seen().find("Status: ") != std::string::npos;
+      if (!caller_ || answered_otherwise || caller_->closed() || now - since_ > answered_within_ms * 10) {
         caller_ = std::make_unique<Caller>(to_);
         caller_->send(bytes_);
         since_ = now;
@@ -118,6 +124,8 @@
       return false;
     }
 
+    std::string last() const { return caller_ ? caller_->seen() : "nothing"; }
+
    private:
     transport::Address to_;
     std::string bytes_;
@@ -146,6 +154,10 @@
           return all;
         },
         static_cast<Time>(2 * ready_within * 10'000));
+    for (std::size_t i = 0; i < at.size(); ++i) {
+      EXPECT_GE(starts[i].ready, 0) << at[i] << " said last: " << ready[i].last();
+      EXPECT_GE(starts[i].decided, 0) << at[i] << " said last: " << decided[i].last();
+    }
     return starts;
   }
   void expect_soon(const std::vector<Start>& starts) {
@@ -164,8 +176,12 @@
   transport::Loop reactor;
   Pump pump{reactor};
   RawServer server{reactor};
-  std::unique_ptr<RawServer> board = std::make_unique<RawServer>(reactor);
-  std::string listen, peers;
+  const Held place{reactor}, board_place{reactor};
+  std::unique_ptr<RawServer> board = std::make_unique<RawServer>(reactor, board_place.address());
+  // Bound as a router binds it, which then hears in its stead.
+  const std::unique_ptr<transport::Place> peer_place =
+      reactor.hear(transport::numeric_address("127.0.0.1:0"), [](const auto&, std::string_view) {});
+  const std::string listen = place.address(), peers = peer_place->address().toString();
   std::vector<std::string> paths;
   Time begun = 0;
   bool counted = false;
@@ -204,15 +220,16 @@
   ::close(full);
 }
 
-// The list names other servers than the configuration did, and all its lines are one: while it is read the
-// router answers late, but within the goal.
+// Nobody is there any more where the configuration's server was: only the list, which is one line, leads to
+// servers that answer.
 TEST_F(RestartStory, WhileDiscoverySendsTheLargestList) {
-  RawServer gone(reactor);
+  const Held nobody(reactor);
+  const std::string gone = nobody.address();
   const std::string list = notice(2, largest_list(server.address())) + "\n";
   board->on_bytes = [&](RawPeer& peer) {
     if (peer.seen == "watch 1\n") peer.stream->write(list);
   };
-  const auto program = start(configuration(listen, board->address(), host(0, gone.address()), peers));
+  const auto program = start(configuration(listen, board->address(), host(0, gone), peers));
   ASSERT_TRUE(pump.until([&] { return !board->peers.empty() && !board->peers[0]->seen.empty(); }));
   expect_soon(measure({listen}));
   EXPECT_EQ(board->peers.size(), 1U) << "it was taken the first time";
@@ -263,10 +280,17 @@
 
 TEST_F(RestartStory, ThirtyTogether) {
   std::vector<std::string> at;
+  std::vector<Held> held;
+  std::vector<std::unique_ptr<transport::Place>> peer_places;
   std::vector<std::unique_ptr<Process>> programs;
-  for (std::size_t i = 0; i < together; ++i) at.push_back(free_address(reactor));
+  for (std::size_t i = 0; i < together; ++i) {
+    at.push_back(held.emplace_back(reactor).address());
+    peer_places.push_back(
+        reactor.hear(transport::numeric_address("127.0.0.1:0"), [](const auto&, std::string_view) {}));
+  }
   for (std::size_t i = 0; i < together; ++i)
-    programs.push_back(start(configuration(at[i], board->address(), hosts(), free_address(reactor))));
+    programs.push_back(
+        start(configuration(at[i], board->address(), hosts(), peer_places[i]->address().toString())));
   expect_soon(measure(at));
 }
 
--- a/tests/router/descriptors_test.cpp
+++ b/tests/router/descriptors_test.cpp
@@ -2,6 +2,7 @@
 // can while roster, broker and the other router cannot be reached. All three are followed again when they
 // return, servers are reached, a client that asks is answered, and the list is remembered at the end.
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <fstream>
 
@@ -68,9 +69,10 @@
   ServeDescriptorStory() {
     raise_descriptors();
     server.on_bytes = [this](RawPeer& peer) { answer(peer); };
-    for (auto* one : {&roster, &broker, &other, &replica}) *one = std::make_unique<RawServer>(reactor);
-    const std::string ours = replica->address();
-    replica.reset();  // the router listens there
+    roster = std::make_unique<RawServer>(reactor, at(0));
+    broker = std::make_unique<RawServer>(reactor, at(1));
+    other = std::make_unique<RawServer>(reactor, at(2));
+    const std::string ours = at(3);
     replica_address = transport::Address(ours);
     std::ofstream(path) << "[router]\nnumber = 0\nrouters = 2\ntick = 50ms\n"
                            "[http]\nlisten = 127.0.0.1:0\nwind-up = 1s\n[roster]\naddress = "
@@ -86,6 +88,7 @@
     std::remove(path.c_str());
     std::remove(list_path.c_str());
   }
+  std::string at(std::size_t place) const { return places[place]->address().toString(); }
   void start() {
     program = std::make_unique<Process>(Launch{
         .arguments = {"serve", path}, .descriptors = GetParam().limit, .inherited = GetParam().inherited});
@@ -123,6 +126,7 @@
       }
     }
   }
+  std::unique_ptr<transport::Place> hold() { return reactor.hold(transport::numeric_address("127.0.0.1:0")); }
   static bool heard(const RawServer& one) {
     return std::ranges::any_of(one.peers, [](const auto& p) { return !p->seen.empty(); });
   }
@@ -154,7 +158,9 @@
   transport::Loop reactor;
   Pump pump{reactor};
   RawServer server{reactor};
-  std::unique_ptr<RawServer> roster, broker, other, replica;
+  // Held, so that nobody else is given an address while its own is away: roster, broker, other router, ours.
+  const std::array<std::unique_ptr<transport::Place>, 4> places{hold(), hold(), hold(), hold()};
+  std::unique_ptr<RawServer> roster, broker, other;
   std::string path = testing::TempDir() + "serve-" + std::to_string(getpid()) + ".ini",
               list_path = testing::TempDir() + "serve-" + std::to_string(getpid()) + ".list";
   std::vector<std::pair<RawPeer*, std::string>> waiting;
@@ -167,7 +173,6 @@
 TEST_P(ServeDescriptorStory, WithAllTakenRosterBrokerAndOtherRouterReturnAndTheListIsRemembered) {
   start();
   fill_servers();
-  const std::string at_roster = roster->address(), at_broker = broker->address(), at_other = other->address();
   for (auto* one : {&roster, &broker, &other}) one->reset();
   crowd = std::make_unique<Crowd>(address, GetParam().limit, GetParam().habits, Greetings());
   strangers =
@@ -179,10 +184,10 @@
   pump.pass(standing);
   EXPECT_LT(program->used() - before, busy * static_cast<double>(standing) / 10'000);
 
-  roster = std::make_unique<RawServer>(reactor, at_roster);
+  roster = std::make_unique<RawServer>(reactor, at(0));
   EXPECT_TRUE(while_crowded([&] { return heard(*roster); }, again_within)) << "the roster";
-  broker = std::make_unique<RawServer>(reactor, at_broker);
-  other = std::make_unique<RawServer>(reactor, at_other);
+  broker = std::make_unique<RawServer>(reactor, at(1));
+  other = std::make_unique<RawServer>(reactor, at(2));
   EXPECT_TRUE(while_crowded([&] { return heard(*broker); }, others_within)) << "the broker";
   EXPECT_TRUE(while_crowded([&] { return heard(*other); }, others_within)) << "the other router";
   expect_room_for_work("they are back");
