--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::size_t read_ahead =
     64 * 1024;  // bytes of further requests held while one is answered, beside a body of the largest size
-constexpr Time linger = 10'000;  // tenths of a millisecond; the last answer is read before the close
+constexpr Time linger = 10'000;        // tenths of a millisecond; the last answer is read before the close
 constexpr Time first_request = 1'000;  // likewise; a new connection's, once the front winds up
 
 // An answer that is no reply: RFC 9457, with what a client must know before it repeats.
