--- a/src/scale/costs.cpp
+++ b/src/scale/costs.cpp
@@ -31,7 +31,7 @@
 constexpr Time meeting = 5 * second;    // until routers have found one another and are alike
 constexpr Time listening = 3 * second;  // three times all points
 constexpr double least_timed = 50e6;    // ns; user CPU is accounted in steps of some milliseconds
-constexpr double hundred = 100;         // servers that a core's costs are measured beside
+constexpr double core_servers = 100;    // servers that a core's costs are measured beside
 
 struct Quiet final : core::Diary {
   bool wants(core::Level) const override { return false; }
@@ -477,7 +477,7 @@
                  "100 servers, 15,000 functions by rank, 162 requests a second", doubling(64, 5),
                  doubling(8, 5), [=](double n, Counter& c) {
                    Sizes sizes = with(usual, &Sizes::tenants, n);
-                   sizes.servers = static_cast<int>(hundred);
+                   sizes.servers = static_cast<int>(core_servers);
                    return request_cost(sizes, c);
                  }});
   all.push_back({"module.tick-by-servers", house, "tick, 10 a second", "servers", around, servers,
@@ -531,7 +531,7 @@
                  "requests a second", "100 servers, 15,000 functions by rank", doubling(40.5, 5),
                  doubling(10, 5), [=](double n, Counter& c) {
                    Sizes sizes = usual;
-                   sizes.servers = static_cast<int>(hundred);
+                   sizes.servers = static_cast<int>(core_servers);
                    sizes.requests = n;
                    return core_second_cost(sizes, c);
                  }});
