--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -42,9 +42,10 @@
 constexpr double crowded_gain = 2;          // events shed for each shot beyond; more would swing
 constexpr double shed_most = 0.9;           // of a customer's events; the rest shows when the crowd is gone
 constexpr double quota_slack = 3;           // events; a part of a quota under one event comes by chance
-constexpr double move_share = 0.1;  // overdue shots sent again, of answers; a silent server costs as many
-constexpr double move_burst = 5;    // of these at once
-constexpr double cold_part = 0.75;  // of the rule's budget comes in as credit; the rest may stand unspent
+constexpr double move_share = 0.1;    // overdue shots sent again, of answers; a silent server costs as many
+constexpr double move_burst = 5;      // of these at once
+constexpr double cold_part = 0.75;    // of the rule's budget comes in as credit; the rest may stand unspent
+constexpr double order_credit = 0.2;  // credits left at a cold server; an order weighs there as a request
 constexpr double ramp_step = 0.6180339887498949;  // credits from router to router: the most even spread
 constexpr double most_ease = 4.5;     // times; a server stays home to some functions, however busy
 constexpr int refusals_of_shut = 3;   // turned away in a row; a full server still honours some between
@@ -385,8 +386,7 @@
   // Rule 5. Whether one more order to load is within the ration; the counts err to the safe side.
   bool may_order(Time now, const Server& server) const {
     if (!d_.orders || !may_receive(server) || pending_orders_ >= order_cap) return false;
-    if (cold_since(now, server) != 0 && server.credit < 0)
-      return false;  // an order weighs there as a request
+    if (cold_since(now, server) != 0 && server.credit < order_credit) return false;
     if (d_.load_window <= 0) return true;
     if (d_.ration_told && !ration_known_) return false;
     return orders_.over(now) + 1 <= d_.load_free + d_.loads_per_event * events_taken_.over(now, span_parts);
