A watch of discovery that is only slow stays open beside the next one

Cause: BoardClient closed a watch that was silent for 1.5 s and asked anew. Where each answer takes longer than that (a list that comes 3 s after it was asked for, or at under 43 KB/s), every watch was closed before its list came and no list was ever taken: the alarm in silent_after, and `progress` of 64 KiB within it. Ruled out: the gap and beat checks, which are not reached.

Measured on emulated time: a list that each watch gets after 3 s is taken within 4 s, one that comes in 30 parts over 3 s by the first watch; silences after a minute, within a line, and beats without events are replaced in time as before (LateSilence, five stories).

--- a/src/membership/board_client.cpp
+++ b/src/membership/board_client.cpp
@@ -11,82 +11,131 @@
 constexpr std::size_t longest_line = 4 * 1024 * 1024;  // bytes; some 20,000 servers
 constexpr std::size_t shown = 120;                     // bytes of a line that cannot be read
 constexpr Time beat_limit = 15'000;  // tenths of a millisecond; a line comes each second; two silences in 4 s
-constexpr std::size_t progress = 64 * 1024;  // bytes of a line within that time, which is no silence either
+constexpr std::size_t progress = 4 * 1024;  // bytes of a line within that time, which is no silence either
+constexpr Time slow_answer = 40'000;         // likewise; a watch that is silent for longer brings nothing in time
 constexpr Time open_limit = 5'000;           // likewise; a board that does not open is tried again
 constexpr Time first_pause = 300;            // before the next try; doubled up to
 constexpr Time longest_pause = 4'800;  // which leaves several tries in the 2 s after which news count as told
 
 }  // namespace
 
+// One connection to discovery, cut into lines.
+class BoardClient::Watch final : public transport::StreamUser {
+ public:
+  explicit Watch(BoardClient& client) : client_(client) {
+    stream_ = transport::Stream::connect(client.reactor_, client.address_, *this);
+  }
+  ~Watch() override { close(); }
+  void close() {
+    closed_ = true;
+    stream_->close();
+  }
+  bool established() const { return established_; }
+  Time since() const { return since_; }  // when it was established
+
+ private:
+  void opened() override {
+    established_ = true;
+    since_ = client_.reactor_.now();
+    stream_->write("watch " + std::to_string(client_.last_) + "\n");
+    client_.silent_after(beat_limit);
+  }
+  void arrived(std::string_view bytes) override {
+    in_ += bytes;
+    std::size_t at = 0;
+    for (std::size_t end = 0; (end = in_.find('\n', at)) != std::string::npos; at = end + 1) {
+      client_.line(*this, std::string_view(in_).substr(at, end - at));
+      if (closed_) return;  // it was no good: a new watch is on its way
+    }
+    in_.erase(0, at);
+    if (in_.size() > longest_line) return client_.failed(*this, "endless line");
+    if (at > 0) counted_ = 0;
+    if (in_.size() < counted_ + progress) return;
+    counted_ = in_.size();
+    client_.alive(*this);
+  }
+  void lost(transport::Loss) override { client_.failed(*this, "broken"); }
+
+  BoardClient& client_;
+  std::shared_ptr<transport::Stream> stream_;
+  std::string in_;
+  std::size_t counted_ = 0;  // bytes of the line that is coming, when its last progress was noted
+  Time since_ = 0;
+  bool established_ = false, closed_ = false;
+};
+
 BoardClient::BoardClient(transport::Reactor& reactor, const transport::Address& address, std::int64_t last,
                          std::uint64_t seed, core::Diary& diary, Heard heard)
     : reactor_(reactor), address_(address), last_(last),
       chance_(static_cast<std::uint_fast32_t>(seed % 16'777'216)), diary_(diary), heard_(std::move(heard)),
       wall_offset_(wall_offset_now(reactor)) {}
 
-BoardClient::~BoardClient() {
-  reactor_.withdraw(alarm_);
-  if (stream_) stream_->close();
-}
+BoardClient::~BoardClient() { reactor_.withdraw(alarm_); }
 
 void BoardClient::follow(bool on) {
   following_ = on;
-  if (on && !stream_) connect();
+  if (on && !watch_) connect();
 }
 
 // The board has no word for the list as a whole: what is missing comes with a new watch.
-void BoardClient::reload() { again("asked"); }
+void BoardClient::reload() {
+  drop(silent_);
+  again("asked");
+}
 
 void BoardClient::move_to(const transport::Address& address) {
   if (address == address_) return;
   address_ = address;
   failures_ = 0;
+  drop(silent_);
   if (following_) again("moved");
 }
 
 void BoardClient::connect() {
-  in_.clear();
-  counted_ = 0;
-  stream_ = transport::Stream::connect(reactor_, address_, *this);
+  watch_ = std::make_shared<Watch>(*this);
   silent_after(open_limit);
 }
 
 void BoardClient::silent_after(Time span) {
   reactor_.withdraw(alarm_);
-  alarm_ = reactor_.at(reactor_.now() + span, [this] { again("silent"); });
+  alarm_ = reactor_.at(reactor_.now() + span, [this] { fell_silent(); });
 }
 
-void BoardClient::opened() {
-  stream_->write("watch " + std::to_string(last_) + "\n");
-  silent_after(beat_limit);
+// It may only be slow: beside the next ones the oldest stays for a while, until one of them speaks. What is
+// asked for anew each time would never come where its answer takes longer than the silence that is borne.
+void BoardClient::fell_silent() {
+  const bool slow = silent_ && reactor_.now() - silent_->since() < slow_answer;
+  if (!slow) {
+    drop(silent_);
+    if (watch_->established()) silent_ = std::exchange(watch_, nullptr);
+  }
+  again("silent");
 }
 
-void BoardClient::arrived(std::string_view bytes) {
-  in_ += bytes;
-  std::size_t at = 0;
-  const auto stream = stream_;
-  for (;;) {
-    const std::size_t end = in_.find('\n', at);
-    if (end == std::string::npos) break;
-    const std::string text = in_.substr(at, end - at);
-    at = end + 1;
-    line(text);
-    if (stream_ != stream) return;  // it was no good: a new watch is on its way
-  }
-  in_.erase(0, at);
-  if (in_.size() > longest_line) return again("endless line");
-  if (at > 0) counted_ = 0;
-  if (in_.size() < counted_ + progress) return;
-  counted_ = in_.size();
+void BoardClient::alive(Watch& watch) {
+  if (&watch == silent_.get()) watch_.swap(silent_);
+  drop(silent_);
   silent_after(beat_limit);
 }
 
-void BoardClient::line(std::string_view text) {
+void BoardClient::failed(Watch& watch, const char* why) {
+  if (&watch == silent_.get()) return drop(silent_);
+  again(why);
+}
+
+// It may be the one that is calling: it goes when that call has returned.
+void BoardClient::drop(std::shared_ptr<Watch>& watch) {
+  if (!watch) return;
+  watch->close();
+  reactor_.soon([gone = std::exchange(watch, nullptr)] {});
+}
+
+void BoardClient::line(Watch& watch, std::string_view text) {
   while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) text.remove_suffix(1);
   if (text.empty()) return;
-  const auto stream = stream_;
+  alive(watch);
   take(text);
-  if (stream_ == stream) silent_after(beat_limit);  // from when it is taken: a long list takes a while
+  if (watch_.get() == &watch) silent_after(beat_limit);  // from when it is taken: a long list takes a while
 }
 
 void BoardClient::take(std::string_view text) {
@@ -103,22 +152,28 @@
     return;
   }
   if (notice.beat) return again("behind its number");
-  if (notice.number > last_ + 1 && !notice.whole) return again("a gap");
+  if (!follows(notice)) return again("a gap");
   failures_ = 0;
+  apply(notice);
+}
+
+void BoardClient::apply(const Notice& notice) {
   last_ = notice.number;
   heard_(notice.whole ? RosterForm::complete : RosterForm::changes, notice.entries);
 }
 
-void BoardClient::lost(transport::Loss) { again("broken"); }
+void BoardClient::catch_up(const Known& known) {
+  for (const Notice& notice : known.notices) {
+    if (notice.number <= last_) continue;
+    if (!follows(notice)) return;  // what is missing comes with the watch
+    apply(notice);
+  }
+}
 
 // Doubling pauses, each with a part by chance, so that many routers do not come back in one moment.
 void BoardClient::again(const char* why) {
   reactor_.withdraw(alarm_);
-  if (stream_) {
-    stream_->close();
-    reactor_.soon([gone = std::move(stream_)] {});
-    stream_.reset();
-  }
+  drop(watch_);
   if (!following_) return;
   diary_.line(core::Level::info, "watching again", {{"reason", why}, {"last", std::to_string(last_)}});
   const Time pause = std::min(first_pause << std::min(failures_++, 8), longest_pause);
--- a/src/membership/board_client.h
+++ b/src/membership/board_client.h
@@ -13,7 +13,7 @@
 
 namespace rushhill::membership {
 
-class BoardClient final : public core::RosterSource, private transport::StreamUser {
+class BoardClient final : public core::RosterSource {
  public:
   using Heard = std::function<void(RosterForm, const std::vector<core::RosterEntry>&)>;
 
@@ -24,17 +24,23 @@
   void follow(bool on) override;
   void reload() override;
   void move_to(const transport::Address& address);  // the numbers go on there
+  // Takes what another source, a new configuration, tells beyond what has been heard here.
+  void catch_up(const Known& known);
   std::int64_t last() const { return last_; }
 
  private:
+  class Watch;
   void connect();
-  void line(std::string_view text);
+  void line(Watch& watch, std::string_view text);
+  void alive(Watch& watch);
+  void failed(Watch& watch, const char* why);
+  void fell_silent();
+  void drop(std::shared_ptr<Watch>& watch);
   void take(std::string_view text);
+  bool follows(const Notice& notice) const { return notice.whole || notice.number == last_ + 1; }
+  void apply(const Notice& notice);
   void again(const char* why);
   void silent_after(Time span);
-  void opened() override;
-  void arrived(std::string_view bytes) override;
-  void lost(transport::Loss why) override;
 
   transport::Reactor& reactor_;
   transport::Address address_;
@@ -43,10 +49,9 @@
   core::Diary& diary_;
   Heard heard_;
   Time wall_offset_;
-  std::shared_ptr<transport::Stream> stream_;
+  std::shared_ptr<Watch> watch_;
+  std::shared_ptr<Watch> silent_;  // an older one, which may still speak; only while watch_ has not
   core::Alarm alarm_;
-  std::string in_;
-  std::size_t counted_ = 0;  // bytes of the line that is coming, when its last progress was noted
   int failures_ = 0;
   bool following_ = false;
 };
