A reload takes the server list of its configuration, and a half-written file once whole

Cause: on SIGHUP only the address of discovery was taken (Node::told_again). A configuration that says a server drains or is gone changed nothing until discovery said so too; a file that was half written at the signal was given up for good, and with it the address that discovery had moved to; other limits were passed over without a word.

Change: Node::reconfigure hands the newer messages of `known` to the board client; Reloader tries a file that cannot be read every 50 ms for a second, and nothing of it takes effect before it is whole; changed settings, limits and addresses are named in the log as due at a restart. The stories' words for the platform and the process moved from owed_test to tests/node/platform.h, platform_story.h and node_process.h, one copy instead of two.

--- a/src/command/node.cpp
+++ b/src/command/node.cpp
@@ -2,13 +2,12 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
-#include <iterator>
 #include <stdexcept>
 #include <string>
 
 #include "log/diary.h"
 #include "node/node.h"
+#include "node/reloader.h"
 #include "transport/descriptors.h"
 #include "transport/loop.h"
 
@@ -19,17 +18,6 @@
 void on_end(int) { asked_to_end = 1; }
 void on_read(int) { asked_to_read = 1; }
 
-node::Configuration read_file(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in.is_open()) throw std::invalid_argument(path + ": cannot be read");
-  const std::string text{std::istreambuf_iterator<char>(in), {}};
-  try {
-    return node::read_configuration(text);
-  } catch (const told::BadField& wrong) {
-    throw std::invalid_argument(path + ": " + wrong.what());
-  }
-}
-
 }  // namespace
 
 int node() {
@@ -41,20 +29,18 @@
   const char* path = std::getenv("PROXY_CONFIG");
   if (path == nullptr)
     throw std::invalid_argument("PROXY_CONFIG is not set: it names the configuration file");
-  node::Configuration told = read_file(path);
+  node::Configuration told = node::read_configuration_file(path);
   log::Diary diary(log::Form::people, core::Level::info, told.name.empty() ? "node" : told.name);
   transport::Loop reactor;
   told.sockets = transport::descriptors_left(told.sockets);
   node::Node router(reactor, told, diary);
+  node::Reloader reloader(reactor, path, diary,
+                          [&](const node::Configuration& changed) { router.reconfigure(changed); });
   reactor.every_turn([&] {
     if (asked_to_end != 0) router.wind_up([&] { reactor.halt(); });
     if (asked_to_read == 0) return;
     asked_to_read = 0;
-    try {
-      router.told_again(read_file(path));
-    } catch (const std::exception& wrong) {
-      diary.line(core::Level::error, "configuration not read: the old one stays", {{"reason", wrong.what()}});
-    }
+    reloader.reload();
   });
   reactor.run();
   diary.line(core::Level::info, "ended",
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -54,6 +54,10 @@
   }
   read.board = address(fields, "board");
   read.known = fields.need("known");
+  told::Json fixed = json;
+  fixed.erase("board");
+  fixed.erase("known");
+  read.fixed = fixed.dump(-1, ' ', false, told::Json::error_handler_t::replace);
   return read;
 }
 
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -22,7 +22,8 @@
   std::string peers_all{};
   std::string board{};
   Deployment module{};
-  told::Json known{};  // read when the clock's offset is known
+  told::Json known{};   // read when the clock's offset is known
+  std::string fixed{};  // all but discovery's address and the list, as text, to see what a reload changes
 };
 
 // Throws told::BadField naming what is missing or wrong.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,9 +16,9 @@
 constexpr Time last_answers = 1'000;  // for answers to leave to clients that are slow to read, then no more
 constexpr Time leave_taking = 1'000;  // for clients to see that we have ended, and to end too
 
-// Descriptors that no client and no server gets: the listener's, the board's, the peers', the file that is
+// Descriptors that no client and no server gets: the listener's, discovery's two, the peers', the file that is
 // read on SIGHUP, and a connection's that is taken to be refused. The log's is open before any is counted.
-constexpr std::size_t reserve = 5;
+constexpr std::size_t reserve = 6;
 
 constexpr double idle_part = 0.66;  // of the time after which servers close: ours close before
 
@@ -70,15 +70,22 @@
   if (!told.module.roster_on_request) board_->follow(true);
   for (const TrafficType& type : told.module.traffic_types)
     longest_limit_ = std::max(longest_limit_, type.hard_limit);
+  fixed_ = told.fixed;
   front_.ready(true);
   address_ = front_.listen(transport::numeric_address(told.listen));
   diary.line(core::Level::info, "serving", {{"address", address_.toString()}, {"name", told.name}});
 }
 Node::~Node() = default;
 
-void Node::told_again(const Configuration& told) {
-  diary_.line(core::Level::info, "configuration read again", {{"board", told.board}});
-  board_->move_to(transport::numeric_address(told.board));
+void Node::reconfigure(const Configuration& changed) {
+  // All of it is read before any of it takes effect.
+  const membership::Known known =
+      membership::read_known(told::Fields(changed.known, "known"), membership::wall_offset_now(reactor_));
+  diary_.line(core::Level::info, "configuration read again", {{"board", changed.board}});
+  if (changed.fixed != fixed_)
+    diary_.line(core::Level::warning, "changed settings, limits and addresses take effect at a restart", {});
+  board_->catch_up(known);
+  board_->move_to(transport::numeric_address(changed.board));
 }
 
 void Node::wind_up(std::function<void()> ended) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,8 +27,9 @@
   core::Gateway& gateway() { return gateway_; }
   carrying::LinePool& pool() { return pool_; }
 
-  // The configuration has been replaced: follows the board to its address. Nothing else may change.
-  void told_again(const Configuration& told);
+  // The configuration has been replaced: follows discovery to its address and takes from its server list what
+  // discovery has not told yet. All else stays as it was at the start, and the log says so where it differs.
+  void reconfigure(const Configuration& changed);
   // Goes on through the span in which requests still come, then ends once all is answered.
   void wind_up(std::function<void()> ended);
 
@@ -48,6 +49,7 @@
   transport::Address address_;
   Time requests_until_ = 0, end_by_ = 0;
   Time longest_limit_ = 0;
+  std::string fixed_;  // what of the configuration a reload does not change
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
 };
 
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -201,7 +201,7 @@
 
 TEST_F(NodeStory, WithTheBoardElsewhereItIsFollowedThere) {
   RawServer other(reactor);
-  router.told_again(read_configuration(configuration(other.address(), server.address())));
+  router.reconfigure(read_configuration(configuration(other.address(), server.address())));
   EXPECT_TRUE(pump.until([&] { return !other.peers.empty() && other.peers[0]->seen == "watch 1\n"; }));
 }
 
--- a/tests/node/owed_test.cpp
+++ b/tests/node/owed_test.cpp
@@ -1,69 +1,15 @@
 // The instant in which something is still owed: a client that leaves while its event waits, a list that says
 // `leaving` of a server that a shot is on its way to, a router told to end with requests at its door. The
 // partners make the bad order every time: what is to coincide stands in the kernel before the loop turns.
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <csignal>
-#include <cstdio>
-#include <cstdlib>
-#include <fstream>
-#include <thread>
-
-#include "fastcgi/records.h"
-#include "loopback.h"
+
+
 #include "node/node.h"
+#include "node_process.h"
+#include "platform_story.h"
 
 namespace rushhill::node {
 namespace {
 
-struct Settings {
-  std::string promise = "2500000000", cold_share = "0.5", cancel = "false", connect_timeout = "3000000000";
-  std::string effect = "free", sockets = "512", multiplex = "100", not_loaded = "load";
-};
-
-std::string host(const std::string& id, const std::string& at, const std::string& health = "active",
-                 std::int64_t born_ms = 0) {
-  return R"({"host":")" + id + R"(","dial":")" + at + R"(","site":"old","class":"std","block":0,"health":")" +
-         health + R"(","share":1,"born_ms":)" + std::to_string(born_ms) + "}";
-}
-
-std::string configuration(const Settings& told, const std::string& board, const std::string& hosts) {
-  return R"({"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":64,"sockets":)" +
-         told.sockets + R"(},"board":")" + board +
-         R"(","known":{"rev":1,"notices":[{"rev":1,"pool":{"seq":1,"whole":true,"hosts":[)" + hosts +
-         R"(]}}]},"settings":{"me":0,"balancers":1,"zone":"old","quantum":4000000,
-  "services":[{"name":"date-lookup","promise":)" +
-         told.promise + R"(,"deadline":2500000000,"effect":")" + told.effect +
-         R"(","worth":1.0}],"tenants":[],
-  "obligations":{"drain-grace":2000000000,"fall":1500000000,"fall-multiple":2.0,"cold":16000000000,"cold-share":)" +
-         told.cold_share + R"(},
-  "permissions":{"cancel":)" +
-         told.cancel + R"(,"send-cap":5,"open-cap":20000,"multiplex":)" + told.multiplex +
-         R"(,"conn-idle":15000000000,"connect-timeout":)" + told.connect_timeout + R"(},
-  "family-info":{"marks-cold":true,"keep":10000000000,"answer-within":2000000000,"placement-calls":)" +
-         (told.not_loaded == "miss" ? "true" : "false") + R"(,"not-loaded":")" + told.not_loaded + R"("}}})";
-}
-
-std::string notice(int number, const std::string& hosts) {
-  return R"({"rev":)" + std::to_string(number) + R"(,"pool":{"seq":)" + std::to_string(number) +
-         R"(,"whole":false,"hosts":[)" + hosts + "]}}\n";
-}
-
-std::string ask(fastcgi::Number number, const std::string& id) {
-  return fastcgi::write_request(number, {.params = {{"SCRIPT_NAME", "/ops/date-lookup"},
-                                                    {"HTTP_X_JOB_ID", id},
-                                                    {"HTTP_X_ALLOW_MS", "2500"},
-                                                    {"HTTP_X_ITEM", "7f3a9c21e0b4d655"},
-                                                    {"HTTP_X_FACTS", "memory_mb:512;lanes:2;load_ms:300"},
-                                                    {"CONTENT_LENGTH", "3"}},
-                                         .body = "ask",
-                                         .keep = true});
-}
 // Standard input for a request that is not open: it is read and passed over.
 std::string passed_over(std::size_t bytes) {
   return std::string{
@@ -71,7 +17,6 @@
              '\0', '\0'} +
          std::string(bytes, '.');
 }
-std::string taken_back(char number) { return std::string{'\1', '\2', '\0', number, '\0', '\0', '\0', '\0'}; }
 
 constexpr const char* first_id = "aaaaaaaaaaaaaaaa";
 constexpr const char* second_id = "bbbbbbbbbbbbbbbb";
@@ -79,87 +24,13 @@
 constexpr std::size_t beginning = 16;  // bytes of a request's first record, which leaves it unread
 constexpr int too_late = 250;  // milliseconds; an attempt may begin 0.1 s after its client's leaving at most
 constexpr int together = 8;    // requests that open connections beside each other
-constexpr const char* honoured = " HIT - 2\r\nok\r\n";
-constexpr const char* refusal = " SHED - 0\r\n\r\n";
-constexpr const char* not_loaded = " NONE - 0\r\n\r\n";
 constexpr Time well_after = 23'000;  // tenths of a millisecond; 2 s and more after what should not happen
 
-// A listener whose connections do not come up before it opens: the system's queue is full.
-class SlowDoor {
- public:
-  SlowDoor() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in at{
-        .sin_family = AF_INET, .sin_port = 0, .sin_addr = {htonl(INADDR_LOOPBACK)}, .sin_zero = {}};
-    socklen_t size = sizeof at;
-    bind(socket_, reinterpret_cast<sockaddr*>(&at), size);
-    listen(socket_, 0);
-    getsockname(socket_, reinterpret_cast<sockaddr*>(&at), &size);
-    address_ = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-    filler_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    connect(filler_, reinterpret_cast<sockaddr*>(&at), size);
-  }
-  ~SlowDoor() {
-    for (const int one : taken_) close(one);
-    close(filler_), close(socket_);
-  }
-  SlowDoor(const SlowDoor&) = delete;
-  SlowDoor& operator=(const SlowDoor&) = delete;
-
-  const std::string& address() const { return address_; }
-  // Takes the one that fills the queue, then the next that comes up; the system tries again after 1 s. False:
-  // none did.
-  bool open(int ms = 10'000) {
-    for (int i = 0; i < 2; ++i) {
-      pollfd waiting{.fd = socket_, .events = POLLIN, .revents = 0};
-      if (poll(&waiting, 1, ms) != 1) return false;
-      taken_.push_back(accept(socket_, nullptr, nullptr));
-    }
-    return true;
-  }
-  // All that has come on what it took.
-  std::string seen() {
-    char bytes[4096];
-    for (const int one : taken_) {
-      for (ssize_t got = 0; (got = recv(one, bytes, sizeof bytes, MSG_DONTWAIT)) > 0;)
-        seen_.append(bytes, static_cast<std::size_t>(got));
-    }
-    return seen_;
-  }
-
- private:
-  int socket_, filler_ = -1;
-  std::string address_, seen_;
-  std::vector<int> taken_;
-};
-
-// The loop stands still meanwhile, as a machine does: alarms fall due, bytes arrive.
-void stand_still(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
-
-class OwedStory : public testing::Test {
+class OwedStory : public PlatformStory {
  protected:
   void start(const Settings& settings, const std::string& hosts) {
     router = std::make_unique<Node>(
-        reactor, read_configuration(configuration(settings, board.address(), hosts)), silent);
-  }
-  std::int64_t now_ms() const { return reactor.unix_ns() / 1'000'000; }
-  int times_at_servers(const std::string& what) const {
-    int times = 0;
-    for (const RawServer* server : {&one, &other}) {
-      for (const auto& peer : server->peers) {
-        for (std::size_t at = 0; (at = peer->seen.find(what, at)) != std::string::npos; ++at) ++times;
-      }
-    }
-    return times;
-  }
-  bool at_servers(const std::string& what) {
-    return pump.until([&] { return times_at_servers(what) > 0; });
-  }
-  void servers_say(const std::string& id, const std::string& what) const {
-    for (const RawServer* server : {&one, &other}) {
-      for (const auto& peer : server->peers) {
-        if (peer->seen.find(id) != std::string::npos) peer->stream->write(id + what);
-      }
-    }
+        reactor, read_configuration(configuration(settings, discovery.address(), hosts)), silent);
   }
   // Idle connections to each of the servers told: what goes there next has no way to wait for.
   bool connected(Visitor& visitor, bool to_other) {
@@ -171,7 +42,7 @@
       for (int i = 0; i < together; ++i) {
         const std::string id = "eeeeeeeeeeeeee" + std::to_string(10 + together * round + i);
         if (!at_servers(id)) return false;
-        servers_say(id, honoured);
+        servers_say(id, succeeded);
       }
       if (!pump.until([&] { return router->gateway().open() == 0; })) return false;
     }
@@ -179,13 +50,9 @@
     return one.peers.size() >= 2 && (!to_other || other.peers.size() >= 2);
   }
   bool watched() {
-    return pump.until([&] { return !board.peers.empty() && !board.peers[0]->seen.empty(); });
+    return pump.until([&] { return !discovery.peers.empty() && !discovery.peers[0]->seen.empty(); });
   }
 
-  transport::Loop reactor;
-  Pump pump{reactor};
-  Silent silent;
-  RawServer one{reactor}, other{reactor}, board{reactor};
   std::unique_ptr<Node> router;
 };
 
@@ -194,7 +61,7 @@
 class LeavingStory : public OwedStory, public testing::WithParamInterface<Way> {
  protected:
   void leave(Visitor& visitor, char number) const {
-    if (GetParam() == Way::takes_back) visitor.send(taken_back(number));
+    if (GetParam() == Way::takes_back) visitor.send(abort_request(number));
     if (GetParam() == Way::goes) visitor.leave();
     if (GetParam() == Way::half_closes) visitor.half_close();
     if (GetParam() == Way::resets) visitor.reset();
@@ -279,7 +146,7 @@
     Visitor visitor(router->address());
     visitor.send(ask(1, id));
     ASSERT_TRUE(at_servers(id));
-    servers_say(id, refusal);
+    servers_say(id, overloaded);
     leave(visitor, 1);
     pump.pass(100);
     ASSERT_TRUE(pump.until([&] { return router->gateway().open() == 0; }));
@@ -332,8 +199,8 @@
   Visitor front(router->address()), third(router->address());
   front.send(ask(1, first_id) + ask(2, second_id));
   ASSERT_TRUE(at_servers(first_id) && at_servers(second_id));
-  servers_say(first_id, honoured);
-  servers_say(second_id, honoured);
+  servers_say(first_id, succeeded);
+  servers_say(second_id, succeeded);
   pump.pass(5'000);
   third.send(ask(3, third_id));
   ASSERT_TRUE(pump.until([&] { return router->gateway().tally().taken == 3; }));
@@ -349,7 +216,7 @@
   ASSERT_TRUE(connected(visitor, true));
   visitor.send(ask(1, first_id));
   ASSERT_TRUE(at_servers(first_id));
-  servers_say(first_id, refusal);
+  servers_say(first_id, overloaded);
   stall_among_clients([&] { leave(visitor, 1); });
   turn_on();
   EXPECT_EQ(times_at_servers(first_id), 1);
@@ -367,7 +234,7 @@
     Visitor visitor(router->address());
     visitor.send(ask(1, id));
     ASSERT_TRUE(at_servers(id));
-    servers_say(id, refusal);
+    servers_say(id, overloaded);
     stall_among_clients([&] { leave(visitor, 1); }, 0);
     pump.pass(2'000);
     after_cancel += times_at_servers(id) - 1;
@@ -395,7 +262,7 @@
   ASSERT_TRUE(connected(visitor, false));
   visitor.send(ask(1, first_id));
   ASSERT_TRUE(at_servers(first_id));
-  servers_say(first_id, not_loaded);
+  servers_say(first_id, not_loaded_answer);
   ASSERT_TRUE(at_servers("prewarm "));
   ASSERT_EQ(times_at_servers(first_id), 1);
   for (const auto& peer : one.peers) {
@@ -421,7 +288,7 @@
   for (int i = 0; i < 13; ++i) front.send(ask(static_cast<char>(1 + i), id(i)));
   ASSERT_TRUE(pump.until([&] { return times_at_servers("invoke ") == 13; }));
   last.send(ask(14, third_id));
-  for (int i = 0; i < 13; ++i) servers_say(id(i), honoured);
+  for (int i = 0; i < 13; ++i) servers_say(id(i), succeeded);
   stall_before_alarms([&] { leave(last, 14); });
   turn_on();
   EXPECT_EQ(times_at_servers(third_id), 0);
@@ -447,7 +314,7 @@
   ASSERT_TRUE(connected(visitor, true));
   visitor.send(ask(1, first_id));
   ASSERT_TRUE(at_servers(first_id));
-  servers_say(first_id, refusal);
+  servers_say(first_id, overloaded);
   visitor.send(passed_over(50'000) + passed_over(50'000));
   leave(visitor, 1);
   stand_still(too_late);
@@ -462,7 +329,7 @@
   ASSERT_TRUE(connected(visitor, true));
   visitor.send(ask(1, first_id));
   ASSERT_TRUE(at_servers(first_id));
-  servers_say(first_id, refusal);
+  servers_say(first_id, overloaded);
   visitor.send(ask(2, second_id).substr(0, beginning));
   leave(visitor, 1);
   stand_still(too_late);
@@ -478,7 +345,7 @@
   Visitor visitor(router->address());
   visitor.send(ask(1, first_id));
   ASSERT_TRUE(pump.until([&] { return router->gateway().tally().shots == 1; }));
-  board.peers[0]->stream->write(
+  discovery.peers[0]->stream->write(
       notice(2, host("s1", door.address(), "leaving") + "," + host("s2", one.address())));
   EXPECT_TRUE(at_servers(first_id));
   door.open(2'000);
@@ -558,65 +425,10 @@
   EXPECT_TRUE(end_seen_before) << "closed by us while its client could still write";
 }
 
-// `rushhill node` as a process of its own.
-class Process {
- public:
-  explicit Process(const std::string& told)
-      : path_(testing::TempDir() + "owed-" + std::to_string(getpid()) + ".json") {
-    std::ofstream(path_) << told;
-    int ends[2];
-    if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
-    id_ = fork();
-    if (id_ == 0) {
-      dup2(ends[1], STDERR_FILENO);
-      setenv("PROXY_CONFIG", path_.c_str(), 1);
-      execl(RUSHHILL_COMMAND, "rushhill", "node", static_cast<char*>(nullptr));
-      _exit(91);
-    }
-    ::close(ends[1]);
-    log_ = ends[0];
-  }
-  ~Process() {
-    if (!ended_) ::kill(id_, SIGKILL), wait();
-    ::close(log_);
-    std::remove(path_.c_str());
-  }
-  Process(const Process&) = delete;
-  Process& operator=(const Process&) = delete;
-
-  // Reads its log up to the line with the word.
-  bool says(const std::string& word) {
-    const std::size_t from = said_.size();
-    for (char byte = 0; said_.find(word, from) == std::string::npos || said_.back() != '\n'; said_ += byte) {
-      pollfd waiting{.fd = log_, .events = POLLIN, .revents = 0};
-      if (poll(&waiting, 1, 30'000) <= 0 || ::read(log_, &byte, 1) != 1) return false;
-    }
-    return true;
-  }
-  transport::Address address() {
-    if (!says("serving")) throw std::runtime_error("does not serve: " + said_);
-    const std::size_t at = said_.find("127.0.0.1:", said_.rfind("serving"));
-    return transport::Address(said_.substr(at, said_.find_first_not_of("0123456789.:", at) - at));
-  }
-  void signal(int number) const { ::kill(id_, number); }
-  int wait() {
-    int status = 0;
-    waitpid(id_, &status, 0);
-    ended_ = true;
-    return status;
-  }
-
- private:
-  std::string path_, said_;
-  pid_t id_ = -1;
-  int log_ = -1;
-  bool ended_ = false;
-};
-
 class ProcessStory : public OwedStory {
  protected:
   std::string told(const Settings& settings = {}) {
-    return configuration(settings, board.address(), host("s1", one.address()));
+    return configuration(settings, discovery.address(), host("s1", one.address()));
   }
   void answer(const std::string& id) {
     for (const auto& peer : one.peers) {
@@ -626,7 +438,7 @@
 };
 
 TEST_F(ProcessStory, ToldToEndTwiceAndToReadAgainBetweenItAnswersWhatIsOutAndEndsWell) {
-  Process process(told());
+  NodeProcess process(told());
   Visitor visitor(process.address());
   visitor.send(ask(1, first_id));
   ASSERT_TRUE(at_servers(first_id));
@@ -644,12 +456,11 @@
     const std::size_t first = seen.find("Status: 200");
     return first != std::string::npos && seen.find("Status: 200", first + 1) != std::string::npos;
   }));
-  const int status = process.wait();
-  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+  EXPECT_TRUE(process.ended_well());
 }
 
 TEST_F(ProcessStory, StoppedWhileAClientAsksAndGoesItSendsNothingOfItOnceItGoesOn) {
-  Process process(told());
+  NodeProcess process(told());
   const transport::Address address = process.address();
   Visitor first(address);
   first.send(ask(1, first_id));
@@ -658,7 +469,7 @@
   Visitor second(address);
   second.send(ask(1, second_id));
   second.leave();
-  first.send(ask(2, third_id) + taken_back(2));
+  first.send(ask(2, third_id) + abort_request(2));
   process.signal(SIGCONT);
   pump.pass(well_after);
   EXPECT_EQ(times_at_servers(second_id), 0);
@@ -669,7 +480,7 @@
   Settings strict;
   strict.effect = "single_shot";
   {
-    Process process(told(strict));
+    NodeProcess process(told(strict));
     Visitor visitor(process.address());
     visitor.send(ask(1, first_id));
     ASSERT_TRUE(at_servers(first_id));
@@ -677,7 +488,7 @@
     EXPECT_TRUE(WIFSIGNALED(process.wait()));
     ASSERT_TRUE(pump.until([&] { return one.peers[0]->ended; }));
   }
-  Process again(told(strict));
+  NodeProcess again(told(strict));
   Visitor visitor(again.address());
   visitor.send(ask(1, second_id));
   ASSERT_TRUE(at_servers(second_id));
