Every request is counted as answered, cancelled or dropped, and served as metrics

Cause: nothing counted a request whose connection was closed without its answer. Written to break such a count, two stories found two: a further request that stopped halfway on the connection closed it after 2 s with an answer owed (FastCgiFront::Connection::outstayed looked at the half request before the open ones), and a last answer that its client read slowly was cut off 0.2 s after it was written (the same function, `closing_` without a look at what had not been sent).

Change: fronts/request_accounting counts taken = open + answered + cancelled + dropped; answered means that the system has taken the answer's last byte. A connection stays while an answer is owed or being read (10 s without reading at most).

--- a/src/fronts/fastcgi_front.cpp
+++ b/src/fronts/fastcgi_front.cpp
@@ -20,6 +20,7 @@
 constexpr Time whole_within = 20'000;  // from a request's first byte to its last; a bad client is owed 3 s
 constexpr Time first_within = 20'000;  // from connecting to the first whole request, likewise
 constexpr Time idle_limit = 100'000;   // between requests; clients close after 4 s themselves
+constexpr Time read_within = 100'000;  // from an answer's writing until its client has read it
 constexpr Time settled = 2'000;        // for a client to leave once it has its last answer
 constexpr Time way_back = 10;          // from our answer to the client's reading it, taken off its time
 constexpr Time rounding = 10;          // a limit told in whole milliseconds may be that much above ours
@@ -30,6 +31,9 @@
 constexpr double most_load_ms = 600'000;     // above any order's limit
 constexpr std::string_view events_path = "/ops/";
 constexpr std::string_view health_path = "/alive";
+constexpr std::string_view metrics_path = "/metrics";
+constexpr const char* opaque_type = "application/octet-stream";
+constexpr const char* metrics_type = "text/plain; version=0.0.4";
 
 bool is_id(std::string_view text) {
   return text.size() == id_digits &&
@@ -76,9 +80,11 @@
 }
 
 // An answer as a CGI response.
-std::string response(int status, const char* phrase, const std::string& fields, std::string_view body) {
+std::string response(int status, const char* phrase, const std::string& fields, std::string_view body,
+                     const char* content_type = opaque_type) {
   std::string out = "Status: " + std::to_string(status) + " " + phrase + "\r\n" + fields;
-  out += "Content-Type: application/octet-stream\r\nContent-Length: " + std::to_string(body.size());
+  out += "Content-Type: " + std::string(content_type);
+  out += "\r\nContent-Length: " + std::to_string(body.size());
   return out.append("\r\n\r\n").append(body);
 }
 
@@ -143,14 +149,16 @@
                                        private fastcgi::Taker {
  public:
   Connection(FastCgiFront& front, const transport::Arrival& arrival)
-      : front_(front), reader_(*this, front.rules_.bounds), quiet_since_(front.reactor_.now()) {
+      : front_(front), reader_(*this, front.rules_.bounds), requests_(front.counts_),
+        quiet_since_(front.reactor_.now()) {
     stream_ = Stream::adopt(front.reactor_, arrival, *this);
   }
-  ~Connection() override { leave(); }
+  ~Connection() override { leave(ConnectionEnd::by_gateway); }
 
   // Its events have no client any more.
-  void leave() {
+  void leave(ConnectionEnd end) {
     if (std::exchange(gone_, true)) return;
+    requests_.ended(end, stream_->handed_over());
     stream_->close();
     for (const auto& [event, request] : std::exchange(open_, {})) {
       front_.open_ids_.erase(request.id);
@@ -178,12 +186,16 @@
     stream_->finish();
   }
 
-  // Nothing: it may stay. Else why it is to be closed.
+  std::size_t open_requests() const { return open_.size() + come_.size(); }
+
+  // Nothing: it may stay. Else why it is to be closed. While an answer is owed it stays, also where a further
+  // request on it has stopped halfway; while an answer is being read, too.
   const char* outstayed(Time now) const {
+    if (open_requests() > 0) return nullptr;
+    if (stream_->waiting() > 0) return now - quiet_since_ >= read_within ? "does not read" : nullptr;
     const auto since = reader_.unfinished_since();
     if (since && now - *since >= whole_within) return "half a request";
     if (closing_) return now - quiet_since_ >= settled ? "answered and not left" : nullptr;
-    if (!open_.empty()) return nullptr;
     if (!asked_ && now - quiet_since_ >= first_within) return "silent";
     return now - quiet_since_ >= idle_limit ? "idle" : nullptr;
   }
@@ -193,16 +205,22 @@
     const auto self = front_.connections_.at(this);
     reader_.put(bytes, front_.reactor_.now());
     // A client that has left already is known before anything is begun for it.
-    if (!come_.empty() && !gone_ && stream_->ahead() == Stream::Ahead::end) return front_.forget(*this);
+    if (!come_.empty() && !gone_ && stream_->ahead() == Stream::Ahead::end)
+      return front_.forget(*this, ConnectionEnd::by_client);
     for (auto& [number, request] : std::exchange(come_, {})) {
       if (!gone_) begin(number, std::move(request));
     }
-    if (!gone_ && stream_->waiting() > front_.rules_.unread) return front_.forget(*this);
+    if (!gone_ && stream_->waiting() > front_.rules_.unread)
+      return front_.forget(*this, ConnectionEnd::by_gateway);
     if (gone_ || !unread_ || stream_->ahead() != Stream::Ahead::nothing) return;
     unread_ = false;
     for (auto& [event, request] : open_) request.unread = 0;
   }
-  void lost(Loss) override { front_.forget(*this); }
+  void drained() override {
+    requests_.handed_over(stream_->handed_over());
+    quiet_since_ = front_.reactor_.now();
+  }
+  void lost(Loss) override { front_.forget(*this, ConnectionEnd::by_client); }
 
  private:
   struct Open {
@@ -216,6 +234,7 @@
   // Begun when all that came with it has been read: it may be taken back there.
   void request(Number number, fastcgi::Request request) override {
     asked_ = true;
+    requests_.taken();
     come_.emplace_back(number, std::move(request));
   }
   void begin(Number number, fastcgi::Request request) {
@@ -227,6 +246,10 @@
           number, keep,
           front_.ready_ ? response(200, "OK", "", "ok") : response(503, "Service Unavailable", "", ""));
     }
+    if (path != nullptr && *path == metrics_path) {
+      reader_.ended(number);
+      return reply(number, keep, response(200, "OK", "", to_prometheus(front_.counts_), metrics_type));
+    }
     Asked asked = read_request(front_.gateway_.deployment(), std::move(request));
     if (asked.status == 0 && front_.open_ids_.contains(asked.message.id)) {
       asked.status = 409;
@@ -247,9 +270,10 @@
   }
   void refused(Number number, Refusal why, bool keep) override {
     asked_ = true;
+    requests_.taken();
     switch (why) {
       case Refusal::unknown_role:
-        return write(fastcgi::end_request(number, Ended::unknown_role, 0), keep);
+        return write_answer(fastcgi::end_request(number, Ended::unknown_role, 0), keep);
       case Refusal::too_many:
         return reply_overloaded(number, keep);
       case Refusal::params_too_large:
@@ -266,6 +290,7 @@
     if (unbegun != come_.end()) {
       const bool keep = unbegun->second.keep;
       come_.erase(unbegun);
+      requests_.cancelled();
       reader_.ended(number);
       return write(fastcgi::end_request(number, Ended::complete, 1), keep);
     }
@@ -275,6 +300,7 @@
       if (it != open_.end()) {
         const EventId event = it->first;
         const Open request = close(event);
+        requests_.cancelled();
         front_.gateway_.client_gone(event, request.unread);
         if (!gone_) write(fastcgi::end_request(number, Ended::complete, 1), request.keep);
         return;
@@ -295,7 +321,7 @@
   void type_unknown(std::uint8_t type) override { write(fastcgi::unknown_type(type), true); }
   void broken(const char* why) override {
     front_.diary_.line(core::Level::debug, "client cannot be read", {{"reason", why}});
-    front_.forget(*this);
+    front_.forget(*this, ConnectionEnd::by_client);
   }
 
   // core::Client
@@ -329,10 +355,18 @@
     return request;
   }
   void reply(Number number, bool keep, const std::string& text) {
-    write(fastcgi::answer(number, text), keep);
+    write_answer(fastcgi::answer(number, text), keep);
   }
   void reply_overloaded(Number number, bool keep) {
-    write(fastcgi::end_request(number, Ended::overloaded, 0), keep);
+    write_answer(fastcgi::end_request(number, Ended::overloaded, 0), keep);
+  }
+  // The whole answer of one request.
+  void write_answer(const std::string& bytes, bool keep) {
+    if (gone_) return;
+    const std::size_t output_before = stream_->handed_over() + stream_->waiting();
+    requests_.answer_written(output_before + bytes.size());
+    write(bytes, keep);
+    requests_.handed_over(stream_->handed_over());
   }
   void write(const std::string& bytes, bool keep) {
     if (gone_) return;
@@ -346,6 +380,7 @@
   FastCgiFront& front_;
   std::shared_ptr<Stream> stream_;
   fastcgi::Reader reader_;
+  ConnectionRequests requests_;
   std::map<EventId, Open> open_;
   std::vector<std::pair<Number, fastcgi::Request>> come_;  // whole, and not begun
   Time quiet_since_;
@@ -360,7 +395,7 @@
 }
 FastCgiFront::~FastCgiFront() {
   reactor_.withdraw(alarm_);
-  while (!connections_.empty()) forget(*connections_.begin()->first);
+  while (!connections_.empty()) forget(*connections_.begin()->first, ConnectionEnd::by_gateway);
 }
 
 transport::Address FastCgiFront::listen(const transport::Address& address) {
@@ -369,7 +404,7 @@
                                                     [this](const auto& arrival) { accept(arrival); });
   listener_->take_where([this] {
     return eviction_.room(connections_, rules_.connections, reactor_.now(),
-                          [this](Connection& connection) { forget(connection); });
+                          [this](Connection& connection) { forget(connection, ConnectionEnd::by_gateway); });
   });
   return listener_->address();
 }
@@ -383,14 +418,20 @@
   connections_.emplace(connection.get(), connection);
 }
 
-void FastCgiFront::forget(Connection& connection) {
+std::size_t FastCgiFront::open_requests() const {
+  std::size_t open = 0;
+  for (const auto& [connection, held] : connections_) open += connection->open_requests();
+  return open;
+}
+
+void FastCgiFront::forget(Connection& connection, ConnectionEnd end) {
   const auto it = connections_.find(&connection);
   if (it == connections_.end()) return;
   // It may be the one that is calling: it goes when that call has returned.
   reactor_.soon([gone = it->second] {});
   const auto held = it->second;
   connections_.erase(it);
-  held->leave();
+  held->leave(end);
 }
 
 void FastCgiFront::sweep() {
@@ -400,7 +441,7 @@
   for (const auto& [connection, held] : connections_) {
     if (connection->outstayed(now) != nullptr) outstayed.push_back(connection);
   }
-  for (Connection* connection : outstayed) forget(*connection);
+  for (Connection* connection : outstayed) forget(*connection, ConnectionEnd::by_gateway);
 }
 
 bool FastCgiFront::all_sent() const {
--- a/src/fronts/fastcgi_front.h
+++ b/src/fronts/fastcgi_front.h
@@ -10,6 +10,7 @@
 #include "core/gateway.h"
 #include "fastcgi/records.h"
 #include "fronts/eviction.h"
+#include "fronts/request_accounting.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
 
@@ -43,6 +44,8 @@
   // Takes what has come to the listener until now, and closes it.
   void stop_listening();
   std::size_t connections() const { return connections_.size(); }
+  const RequestCounts& counts() const { return counts_; }
+  std::size_t open_requests() const;  // counted over the connections: whole, and no answer written
   // Whether nothing of a request stands half read or unread, and every answer has left.
   bool all_sent() const;
   // Ends our side of every connection; they go as their clients end theirs.
@@ -51,7 +54,7 @@
  private:
   class Connection;
   void accept(const transport::Arrival& arrival);
-  void forget(Connection& connection);
+  void forget(Connection& connection, ConnectionEnd end);
   void sweep();
 
   transport::Reactor& reactor_;
@@ -59,6 +62,7 @@
   core::Diary& diary_;
   FastCgiRules rules_;
   taking::Shares::Source source_;
+  RequestCounts counts_;  // outlives the connections
   bool ready_ = false;
   std::unique_ptr<transport::Listener> listener_;
   std::map<Connection*, std::shared_ptr<Connection>, transport::ByNumber> connections_;
--- /dev/null
+++ b/src/fronts/request_accounting.cpp
@@ -0,0 +1,64 @@
+#include "fronts/request_accounting.h"
+
+#include <utility>
+
+namespace rushhill::fronts {
+
+std::string to_prometheus(const RequestCounts& counts) {
+  std::string out;
+  const auto add = [&out](const char* name, const char* type, const char* help, std::uint64_t value) {
+    out += std::string("# HELP ") + name + " " + help + "\n";
+    out += std::string("# TYPE ") + name + " " + type + "\n";
+    out += std::string(name) + " " + std::to_string(value) + "\n";
+  };
+  add("rushhill_requests_taken_total", "counter", "Requests read from clients.", counts.taken);
+  add("rushhill_requests_answered_total", "counter", "Requests whose whole answer has been sent.",
+      counts.answered);
+  add("rushhill_requests_cancelled_total", "counter", "Requests ended by their client before the answer.",
+      counts.cancelled);
+  add("rushhill_requests_dropped_total", "counter", "Requests whose connection was closed unanswered.",
+      counts.dropped);
+  add("rushhill_requests_open", "gauge", "Requests taken that have not ended.", counts.open);
+  return out;
+}
+
+std::string to_text(const RequestCounts& counts) {
+  return "taken " + std::to_string(counts.taken) + ", answered " + std::to_string(counts.answered) +
+         ", cancelled " + std::to_string(counts.cancelled) + ", dropped " + std::to_string(counts.dropped) +
+         ", open " + std::to_string(counts.open);
+}
+
+void ConnectionRequests::taken() {
+  ++unanswered_;
+  ++totals_.taken;
+  ++totals_.open;
+}
+
+void ConnectionRequests::cancelled() {
+  --unanswered_;
+  ++totals_.cancelled;
+  --totals_.open;
+}
+
+void ConnectionRequests::answer_written(std::size_t output_end) {
+  --unanswered_;
+  output_ends_.push_back(output_end);
+}
+
+void ConnectionRequests::handed_over(std::size_t bytes) {
+  while (!output_ends_.empty() && output_ends_.front() <= bytes) {
+    output_ends_.pop_front();
+    ++totals_.answered;
+    --totals_.open;
+  }
+}
+
+void ConnectionRequests::ended(ConnectionEnd end, std::size_t bytes_handed_over) {
+  handed_over(bytes_handed_over);
+  const std::size_t lost = std::exchange(unanswered_, 0) + output_ends_.size();
+  output_ends_.clear();
+  (end == ConnectionEnd::by_client ? totals_.cancelled : totals_.dropped) += lost;
+  totals_.open -= lost;
+}
+
+}  // namespace rushhill::fronts
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,6 +26,7 @@
   transport::Address address() const { return address_; }
   core::Gateway& gateway() { return gateway_; }
   carrying::LinePool& pool() { return pool_; }
+  const fronts::FastCgiFront& front() const { return front_; }
 
   // The configuration has been replaced: follows discovery to its address and takes from its server list what
   // discovery has not told yet. All else stays as it was at the start, and the log says so where it differs.
