HTTP requests are counted too, and half a request at the wind-up is waited for

Cause: HttpFront's wind_up closed a connection of which half a request had been read (it looked at what was left in `in_`, which the reader had taken, and not at `begun_`): on a new one after 0.1 s, on one that had been used at once. The rest came to a closed connection and was not answered. Likewise a last answer that its client read slowly was cut off 1 s after it was written (close_after).

Change: wind_up passes over a connection on which a request has begun; what is left of a last answer has as long as a request. The counts of the platform's frontend for HTTP, at GET /metrics. Answers on their way are kept in a vector, which holds no memory for an idle connection.

--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -60,7 +60,7 @@
                                     public core::Client {
  public:
   Connection(HttpFront& front, const transport::Arrival& arrival)
-      : front_(front), reactor_(front.reactor_), reader_({.body = front.rules_.body}),
+      : front_(front), reactor_(front.reactor_), reader_({.body = front.rules_.body}), requests_(front.counts_),
         since_(reactor_.now()) {
     stream_ = transport::Stream::adopt(reactor_, arrival, *this);
     set_alarm(front.rules_.idle);
@@ -71,8 +71,9 @@
   }
 
   // The client is no longer there: its open events are told so.
-  void leave() {
+  void leave(ConnectionEnd end) {
     closing_ = true;
+    requests_.ended(end, stream_->handed_over());
     reactor_.withdraw(alarm_);
     stream_->close();
     for (const auto& [event, row] : std::exchange(places_, {}))
@@ -94,9 +95,11 @@
     if (stream_->ahead() != transport::Stream::Ahead::nothing) ++unread_;
   }
 
-  void lost(transport::Loss) override { front_.forget(*this); }
+  void lost(transport::Loss) override { front_.forget(*this, ConnectionEnd::by_client); }
   void drained() override {
-    if (answering_ || closing_) return;
+    requests_.handed_over(stream_->handed_over());
+    if (closing_) return set_alarm(linger);
+    if (answering_) return;
     if (!keep_alive_) return close_after();
     next();
   }
@@ -135,10 +138,10 @@
     return (begun_ || in_.empty()) && stream_->ahead() == transport::Stream::Ahead::nothing;
   }
 
-  // The front stops: an idle connection goes now, one at work or whose request stands unread after its
-  // answer; one that has just come has a moment for its request.
+  // The front stops: an idle connection goes now, one at work or whose request stands unread or half read
+  // after its answer; one that has just come has a moment for its request.
   void wind_up() {
-    if (answering_ || closing_ || !in_.empty() || stream_->ahead() == transport::Stream::Ahead::bytes) return;
+    if (answering_ || closing_ || begun_ || !in_.empty() || stream_->ahead() == transport::Stream::Ahead::bytes) return;
     if (!fresh_) return close_after();
     set_alarm(first_request);
   }
@@ -150,7 +153,8 @@
   }
 
   void overdue() {
-    if (closing_ || !begun_ || stream_->waiting() > 0) return front_.forget(*this);
+    if (closing_ || !begun_ || stream_->waiting() > 0)
+      return front_.forget(*this, ConnectionEnd::by_gateway);
     answer_and_close(problem(408, "too-slow", true, "the request did not arrive whole in time"));
   }
 
@@ -180,6 +184,7 @@
     reactor_.withdraw(alarm_);
     begun_ = told_to_continue_ = fresh_ = false;
     asked_ = answering_ = true;
+    requests_.taken();
     const HttpRequest request = reader_.take();
     keep_alive_ = request.keep_alive;
     take(request);
@@ -195,6 +200,12 @@
                      .body = (good ? "yes\n" : "no\n") +
                              (front_.standing_ && path == "/health/ready" ? front_.standing_() + "\n" : "")});
     }
+    if (path == "/metrics") {
+      if (request.method != "GET") return not_allowed("GET");
+      return answer({.status = 200,
+                     .headers = {{"content-type", "text/plain; version=0.0.4"}},
+                     .body = to_prometheus(front_.counts_)});
+    }
     if (path != "/") return answer(problem(404, "unknown-path", true, "events are sent to /"));
     if (request.method != "POST") return not_allowed("POST");
     const std::string* type = request.header("content-type");
@@ -284,7 +295,10 @@
   void answer(HttpResponse response) {
     keep_alive_ = keep_alive_ && !front_.winding_up_;
     response.keep_alive = keep_alive_;
-    stream_->write(transport::to_bytes(response));
+    const std::string bytes = transport::to_bytes(response);
+    requests_.answer_written(stream_->handed_over() + stream_->waiting() + bytes.size());
+    stream_->write(bytes);
+    requests_.handed_over(stream_->handed_over());
     answering_ = begun_ = false;
     since_ = reactor_.now();
     if (!keep_alive_) return close_after();
@@ -293,7 +307,9 @@
     if (stream_->waiting() == 0) next();
   }
 
+  // For a request that has not come whole.
   void answer_and_close(HttpResponse response) {
+    requests_.taken();
     keep_alive_ = false;
     answer(std::move(response));
   }
@@ -312,13 +328,15 @@
     closing_ = true;
     in_.clear();
     stream_->finish();
-    set_alarm(linger);
+    // What the system has not taken of the last answer is sent at its client's pace.
+    set_alarm(stream_->waiting() > 0 ? front_.rules_.request_within : linger);
   }
 
   HttpFront& front_;
   transport::Reactor& reactor_;  // also when the front is gone
   std::shared_ptr<transport::Stream> stream_;
   transport::HttpRequestReader reader_;
+  ConnectionRequests requests_;
   std::string in_;
   std::map<EventId, std::size_t> places_;  // events that await their answer, and their row in a batch
   Json rows_;
@@ -338,7 +356,7 @@
     : reactor_(reactor), gateway_(gateway), intake_(intake), diary_(diary), rules_(rules),
       source_(gateway.add_source(rules.weight)) {}
 HttpFront::~HttpFront() {
-  while (!connections_.empty()) forget(*connections_.begin()->first);
+  while (!connections_.empty()) forget(*connections_.begin()->first, ConnectionEnd::by_gateway);
 }
 
 transport::Address HttpFront::listen(const transport::Address& address, bool shared) {
@@ -354,7 +372,7 @@
 transport::Address HttpFront::listening() {
   listener_->take_where([this] {
     return eviction_.room(connections_, static_cast<std::size_t>(rules_.connections), reactor_.now(),
-                          [this](Connection& connection) { forget(connection); });
+                          [this](Connection& connection) { forget(connection, ConnectionEnd::by_gateway); });
   });
   return listener_->address();
 }
@@ -368,13 +386,13 @@
   connections_.emplace(connection.get(), connection);
 }
 
-void HttpFront::forget(Connection& connection) {
+void HttpFront::forget(Connection& connection, ConnectionEnd end) {
   const auto it = connections_.find(&connection);
   if (it == connections_.end()) return;
   // It may be the one that is calling: it goes when that call has returned.
   reactor_.soon([gone = it->second] {});
   connections_.erase(it);
-  connection.leave();
+  connection.leave(end);
 }
 
 void HttpFront::wind_up() {
--- a/src/fronts/http_front.h
+++ b/src/fronts/http_front.h
@@ -10,6 +10,7 @@
 #include "core/gateway.h"
 #include "core/intake.h"
 #include "fronts/eviction.h"
+#include "fronts/request_accounting.h"
 #include "transport/http.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
@@ -43,12 +44,13 @@
   // Takes no further connection; those that stand are answered with Connection: close.
   void wind_up();
   std::size_t connections() const { return connections_.size(); }
+  const RequestCounts& counts() const { return counts_; }
 
  private:
   class Connection;
   transport::Address listening();
   void accept(const transport::Arrival& arrival);
-  void forget(Connection& connection);
+  void forget(Connection& connection, ConnectionEnd end);
 
   transport::Reactor& reactor_;
   core::Gateway& gateway_;
@@ -56,6 +58,7 @@
   core::Diary& diary_;
   HttpRules rules_;
   taking::Shares::Source source_;
+  RequestCounts counts_;  // outlives the connections
   bool ready_ = false, winding_up_ = false;
   std::function<std::string()> standing_;
   std::unique_ptr<transport::Listener> listener_;
--- a/src/fronts/request_accounting.cpp
+++ b/src/fronts/request_accounting.cpp
@@ -1,5 +1,6 @@
 #include "fronts/request_accounting.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rushhill::fronts {
@@ -46,11 +47,11 @@
 }
 
 void ConnectionRequests::handed_over(std::size_t bytes) {
-  while (!output_ends_.empty() && output_ends_.front() <= bytes) {
-    output_ends_.pop_front();
-    ++totals_.answered;
-    --totals_.open;
-  }
+  const auto first_waiting = std::ranges::upper_bound(output_ends_, bytes);
+  const auto out = static_cast<std::uint64_t>(first_waiting - output_ends_.begin());
+  output_ends_.erase(output_ends_.begin(), first_waiting);
+  totals_.answered += out;
+  totals_.open -= out;
 }
 
 void ConnectionRequests::ended(ConnectionEnd end, std::size_t bytes_handed_over) {
--- a/src/fronts/request_accounting.h
+++ b/src/fronts/request_accounting.h
@@ -5,8 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <string>
+#include <vector>
 
 namespace rushhill::fronts {
 
@@ -51,8 +51,8 @@
 
  private:
   RequestCounts& totals_;
-  std::size_t unanswered_ = 0;          // no answer has been written
-  std::deque<std::size_t> output_ends_;  // of answers that are written and not out, in their order
+  std::size_t unanswered_ = 0;            // no answer has been written
+  std::vector<std::size_t> output_ends_;  // of answers that are written and not out, in their order; few
 };
 
 }  // namespace rushhill::fronts
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -177,6 +177,7 @@
                         {"gone", tally.gone},
                         {"refused", tally.refused},
                         {"overdue", tally.overdue},
+                        {"http_requests", fronts::to_text(front_.counts())},
                         {"shots", tally.shots},
                         {"attempts_after_cancel", tally.attempts_after_cancel},
                         {"probes", tally.probes},
--- a/tests/fronts/http_front_test.cpp
+++ b/tests/fronts/http_front_test.cpp
@@ -2,91 +2,12 @@
 #include <Poco/Net/StreamSocket.h>
 #include <sys/socket.h>
 
-#include "loopback.h"
-#include "router/router_process.h"
+#include "front_story.h"
 #include "transport/http.h"
-#include "transport/loop.h"
 
 namespace rushhill {
 namespace {
 
-constexpr const char* deployment_text = R"([router]
-tick = 50ms
-[permissions]
-open = 3
-[http]
-listen = 127.0.0.1:0
-body = 1KiB
-batch = 3
-request-within = 300ms
-idle = 30s
-[traffic lookup]
-event-type = org.lookup
-due = 5s
-hard-limit = 10s
-effect = reissuable
-[traffic booking]
-due = 5s
-hard-limit = 10s
-)";
-
-const std::string head =
-    "POST / HTTP/1.1\r\nhost: x\r\nce-specversion: 1.0\r\nce-source: /c\r\nce-type: "
-    "org.lookup\r\nce-function: f\r\n";
-std::string request(const std::string& id, const std::string& more = "content-length: 0\r\n\r\n") {
-  return head + "ce-id: " + id + "\r\n" + more;
-}
-
-class FrontStory : public testing::Test {
- protected:
-  FrontStory() {
-    server.on_bytes = [this](RawPeer& peer) {
-      if (peer.seen.find("\r\n\r\n") == std::string::npos) return;
-      const auto at = peer.seen.find("ce-id: ") + 7;
-      shot.push_back(peer.seen.substr(at, peer.seen.find("\r\n", at) - at));
-      const std::string data = "\"" + shot.back() + "\"";
-      peer.seen.clear();
-      asked = &peer;
-      if (!answering) return;
-      peer.stream->write(
-          "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r\r\nce-source: /s\r\nce-type: t\r\n"
-          "content-type: application/json\r\ncontent-length: " +
-          std::to_string(data.size()) + "\r\n\r\n" + data);
-    };
-    router.gateway().roster(RosterForm::complete, {{{.id = "s"}, server.address()}});
-  }
-  RawPeer& connect() {
-    clients.push_back(std::make_unique<RawPeer>(reactor, router.address()));
-    return *clients.back();
-  }
-  // Sends bytes on a connection of their own and waits for so many answers.
-  std::string say(const std::string& bytes, std::size_t answers = 1) {
-    RawPeer& client = connect();
-    client.stream->write(bytes);
-    EXPECT_TRUE(pump.until([&] { return count(client.seen) >= answers; })) << client.seen;
-    return client.seen;
-  }
-  static std::size_t count(const std::string& seen) {
-    std::size_t found = 0;
-    for (std::size_t at = 0; (at = seen.find("HTTP/1.1 ", at)) != std::string::npos; ++at) ++found;
-    return seen.ends_with("HTTP/1.1 ") ? 0 : found;
-  }
-  static bool says(const std::string& seen, const std::string& part) {
-    return seen.find(part) != std::string::npos;
-  }
-  const core::Tally& tally() { return router.gateway().tally(); }
-
-  transport::Loop reactor;
-  Pump pump{reactor};
-  Silent silent;
-  RawServer server{reactor};
-  router::RouterProcess router{reactor, deployment::read_text("f", deployment_text), 5, silent};
-  std::vector<std::unique_ptr<RawPeer>> clients;
-  std::vector<std::string> shot;
-  RawPeer* asked = nullptr;  // last
-  bool answering = true;
-};
-
 TEST_F(FrontStory, AnEventInBinaryModeIsHonouredAsACloudEvent) {
   const std::string seen = say(request("one"));
   EXPECT_TRUE(says(seen, "HTTP/1.1 200")) << seen;
