--- a/src/fronts/http_front.cpp
+++ b/src/fronts/http_front.cpp
@@ -60,8 +60,8 @@
                                     public core::Client {
  public:
   Connection(HttpFront& front, const transport::Arrival& arrival)
-      : front_(front), reactor_(front.reactor_), reader_({.body = front.rules_.body}), requests_(front.counts_),
-        since_(reactor_.now()) {
+      : front_(front), reactor_(front.reactor_), reader_({.body = front.rules_.body}),
+        requests_(front.counts_), since_(reactor_.now()) {
     stream_ = transport::Stream::adopt(reactor_, arrival, *this);
     set_alarm(front.rules_.idle);
   }
@@ -141,7 +141,9 @@
   // The front stops: an idle connection goes now, one at work or whose request stands unread or half read
   // after its answer; one that has just come has a moment for its request.
   void wind_up() {
-    if (answering_ || closing_ || begun_ || !in_.empty() || stream_->ahead() == transport::Stream::Ahead::bytes) return;
+    if (answering_ || closing_ || begun_ || !in_.empty() ||
+        stream_->ahead() == transport::Stream::Ahead::bytes)
+      return;
     if (!fresh_) return close_after();
     set_alarm(first_request);
   }
@@ -153,8 +155,7 @@
   }
 
   void overdue() {
-    if (closing_ || !begun_ || stream_->waiting() > 0)
-      return front_.forget(*this, ConnectionEnd::by_gateway);
+    if (closing_ || !begun_ || stream_->waiting() > 0) return front_.forget(*this, ConnectionEnd::by_gateway);
     answer_and_close(problem(408, "too-slow", true, "the request did not arrive whole in time"));
   }
 
--- a/src/lab/bench.cpp
+++ b/src/lab/bench.cpp
@@ -122,7 +122,7 @@
                                    "--due",         std::to_string(due_ms)};
     for (const std::string& one : to) words.insert(words.end(), {"--to", one});
     Process process("pump", words, folder_ / "pump.log");
-    const Json result = Json::parse(process.ready(how_.seconds + 20));
+    Json result = Json::parse(process.ready(how_.seconds + 20));
     process.wait(5);
     return result;
   }
--- a/src/membership/board_client.cpp
+++ b/src/membership/board_client.cpp
@@ -12,9 +12,9 @@
 constexpr std::size_t shown = 120;                     // bytes of a line that cannot be read
 constexpr Time beat_limit = 15'000;  // tenths of a millisecond; a line comes each second; two silences in 4 s
 constexpr std::size_t progress = 4 * 1024;  // bytes of a line within that time, which is no silence either
-constexpr Time slow_answer = 40'000;         // likewise; a watch that is silent for longer brings nothing in time
-constexpr Time open_limit = 5'000;           // likewise; a board that does not open is tried again
-constexpr Time first_pause = 300;            // before the next try; doubled up to
+constexpr Time slow_answer = 40'000;   // likewise; a watch that is silent for longer brings nothing in time
+constexpr Time open_limit = 5'000;     // likewise; a board that does not open is tried again
+constexpr Time first_pause = 300;      // before the next try; doubled up to
 constexpr Time longest_pause = 4'800;  // which leaves several tries in the 2 s after which news count as told
 
 }  // namespace
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t fewest_sockets = 32;  // descriptors; below that nothing can be served
 
 std::string address(const told::Fields& fields, const char* name) {
-  const std::string text = fields.text(name);
+  std::string text = fields.text(name);
   try {
     transport::numeric_address(text);
   } catch (const std::invalid_argument& wrong) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,8 +16,8 @@
 constexpr Time last_answers = 1'000;  // for answers to leave to clients that are slow to read, then no more
 constexpr Time leave_taking = 1'000;  // for clients to see that we have ended, and to end too
 
-// Descriptors that no client and no server gets: the listener's, discovery's two, the peers', the file that is
-// read on SIGHUP, and a connection's that is taken to be refused. The log's is open before any is counted.
+// Descriptors that no client and no server gets: the listener's, discovery's two, the peers', the file that
+// is read on SIGHUP, and a connection's that is taken to be refused. The log's is open before any is counted.
 constexpr std::size_t reserve = 6;
 
 constexpr double idle_part = 0.66;  // of the time after which servers close: ours close before
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -54,7 +54,6 @@
   std::map<std::string, std::unique_ptr<Box>> boxes_;
   std::map<std::string, std::shared_ptr<Mark>> marks_;
   std::unique_ptr<Lines> roster_;
-  std::int64_t exchanges_ = 0;
 };
 
 }  // namespace rushhill::standin
--- a/tests/fronts/http_pieces_test.cpp
+++ b/tests/fronts/http_pieces_test.cpp
@@ -1,4 +1,5 @@
-// HTTP requests that come in pieces, and what is counted of requests: each is answered, or its client has gone.
+// HTTP requests that come in pieces, and what is counted of requests: each is answered, or its client has
+// gone.
 #include "front_story.h"
 
 namespace rushhill {
--- a/tests/membership/silence_test.cpp
+++ b/tests/membership/silence_test.cpp
@@ -8,7 +8,7 @@
 namespace rushhill::membership {
 namespace {
 
-constexpr Time second = 10'000;             // tenths of a millisecond
+constexpr Time second = 10'000;              // tenths of a millisecond
 constexpr Time counts_as_told = 4 * second;  // from the beginning of a silence
 constexpr int beats_of_a_minute = 60;
 constexpr int first_number = 4;
--- a/tests/node/idle_test.cpp
+++ b/tests/node/idle_test.cpp
@@ -30,8 +30,8 @@
   }
 
   int datagrams = 0;
-  const std::unique_ptr<transport::Place> peer =
-      reactor.hear(transport::numeric_address("127.0.0.1:0"), [this](const auto&, std::string_view) { ++datagrams; });
+  const std::unique_ptr<transport::Place> peer = reactor.hear(
+      transport::numeric_address("127.0.0.1:0"), [this](const auto&, std::string_view) { ++datagrams; });
   const HeldAddress own_peer_address{reactor};
 };
 
--- a/tests/node/kill_test.cpp
+++ b/tests/node/kill_test.cpp
@@ -34,8 +34,8 @@
     };
   }
   std::unique_ptr<NodeProcess> start() {
-    auto process = std::make_unique<NodeProcess>(configuration(
-        settings, discovery.address(), host("s1", one.address(), "active", 0, "16")));
+    auto process = std::make_unique<NodeProcess>(
+        configuration(settings, discovery.address(), host("s1", one.address(), "active", 0, "16")));
     process->address();
     return process;
   }
--- a/tests/node/node_process.h
+++ b/tests/node/node_process.h
@@ -15,8 +15,9 @@
 class NodeProcess {
  public:
   explicit NodeProcess(const std::string& configuration)
-      : path_(new_path()), process_((write(configuration),
-                                     Launch{.arguments = {"node"}, .environment = {{"PROXY_CONFIG", path_}}})) {}
+      : path_(new_path()),
+        process_((write(configuration),
+                  Launch{.arguments = {"node"}, .environment = {{"PROXY_CONFIG", path_}}})) {}
   ~NodeProcess() { std::remove(path_.c_str()); }
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
--- a/tests/node/owed_test.cpp
+++ b/tests/node/owed_test.cpp
@@ -2,7 +2,6 @@
 // `leaving` of a server that a shot is on its way to, a router told to end with requests at its door. The
 // partners make the bad order every time: what is to coincide stands in the kernel before the loop turns.
 
-
 #include "node/node.h"
 #include "node_process.h"
 #include "platform_story.h"
--- a/tests/node/pieces_test.cpp
+++ b/tests/node/pieces_test.cpp
@@ -6,10 +6,10 @@
 namespace rushhill::node {
 namespace {
 
-constexpr std::size_t record_header = 8;    // bytes
-constexpr Time between_pieces = 18'000;     // tenths of a millisecond; longer than the request's own time
-constexpr int allow_ms = 1'500;             // the request's own time
-constexpr Time server_takes = 5'000;        // tenths of a millisecond; within it, from the last byte
+constexpr std::size_t record_header = 8;  // bytes
+constexpr Time between_pieces = 18'000;   // tenths of a millisecond; longer than the request's own time
+constexpr int allow_ms = 1'500;           // the request's own time
+constexpr Time server_takes = 5'000;      // tenths of a millisecond; within it, from the last byte
 constexpr int rounds_interleaved = 20;
 
 // A request's bytes, a record each.
@@ -38,11 +38,11 @@
         peer.stream->write(ids.back() + succeeded);
       }
     };
-    router = std::make_unique<Node>(
-        reactor,
-        read_configuration(configuration({}, discovery.address(),
-                                         host("s1", one.address(), "active", 0, "16"))),
-        silent);
+    router =
+        std::make_unique<Node>(reactor,
+                               read_configuration(configuration(
+                                   {}, discovery.address(), host("s1", one.address(), "active", 0, "16"))),
+                               silent);
   }
   const fronts::RequestCounts& counts() const { return router->front().counts(); }
 
--- a/tests/node/platform.h
+++ b/tests/node/platform.h
@@ -1,4 +1,5 @@
-// The platform's words for the stories of `rushhill node`: configurations, server lists, requests and answers.
+// The platform's words for the stories of `rushhill node`: configurations, server lists, requests and
+// answers.
 #pragma once
 
 #include <cstdint>
@@ -23,8 +24,9 @@
 inline std::string host(const std::string& id, const std::string& address,
                         const std::string& health = "active", std::int64_t started_ms = 0,
                         const std::string& rating = "1") {
-  return R"({"host":")" + id + R"(","dial":")" + address + R"(","site":"old","class":"std","block":0,"health":")" +
-         health + R"(","share":)" + rating + R"(,"born_ms":)" + std::to_string(started_ms) + "}";
+  return R"({"host":")" + id + R"(","dial":")" + address +
+         R"(","site":"old","class":"std","block":0,"health":")" + health + R"(","share":)" + rating +
+         R"(,"born_ms":)" + std::to_string(started_ms) + "}";
 }
 
 // A message of discovery, with what has changed or the whole list.
@@ -46,7 +48,8 @@
   return R"({"name":"n)" + std::to_string(settings.me) + R"(","listen":")" + settings.listen +
          R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":64,"sockets":)" + settings.sockets +
          R"(},"board":")" + discovery + R"(",)" +
-         (talks ? R"("peer_listen":")" + settings.peer_listen + R"(","peers":[)" + settings.peers + "]," : "") +
+         (talks ? R"("peer_listen":")" + settings.peer_listen + R"(","peers":[)" + settings.peers + "],"
+                : "") +
          R"("known":{"rev":)" + number_text + R"(,"notices":[)" + list_message(number, true, hosts) +
          R"(]},"settings":{"me":)" + std::to_string(settings.me) + R"(,"balancers":)" +
          std::to_string(settings.routers) + R"(,"zone":"old","quantum":4000000,
--- a/tests/node/platform_story.h
+++ b/tests/node/platform_story.h
@@ -95,9 +95,7 @@
 class PlatformStory : public testing::Test {
  protected:
   std::int64_t now_ms() const { return reactor.unix_ns() / 1'000'000; }
-  int times_at_servers(const std::string& what) const {
-    return times_at(one, what) + times_at(other, what);
-  }
+  int times_at_servers(const std::string& what) const { return times_at(one, what) + times_at(other, what); }
   bool at_servers(const std::string& what) {
     return pump.until([&] { return times_at_servers(what) > 0; });
   }
--- a/tests/node/reload_test.cpp
+++ b/tests/node/reload_test.cpp
@@ -1,6 +1,6 @@
 // A new configuration (SIGHUP) that says a server drains, another is gone and discovery has moved, while
-// requests wait for room, for a load, for a connection, and are out at the server that drains. The router is a
-// process of its own; the verdict is what the servers and clients see.
+// requests wait for room, for a load, for a connection, and are out at the server that drains. The router is
+// a process of its own; the verdict is what the servers and clients see.
 #include "node_process.h"
 #include "platform_story.h"
 
@@ -10,8 +10,8 @@
 constexpr const char* first_id = "aaaaaaaaaaaaaaaa";
 constexpr const char* second_id = "bbbbbbbbbbbbbbbb";
 constexpr const char* third_id = "cccccccccccccccc";
-constexpr Time settle = 5'000;         // tenths of a millisecond; for what should not happen at once
-constexpr Time drain_grace = 20'000;   // as the configuration says
+constexpr Time settle = 5'000;          // tenths of a millisecond; for what should not happen at once
+constexpr Time drain_grace = 20'000;    // as the configuration says
 constexpr int unfinished_for_ms = 300;  // a file of which half is written
 constexpr const char* reloaded = "configuration read again";
 
@@ -65,9 +65,8 @@
   servers_say(first_id, not_loaded_answer);
   ASSERT_TRUE(at_server(one, "prewarm "));
   ASSERT_TRUE(reloads(drained(one.address())));
-  ASSERT_TRUE(pump.until([&] {
-    return times_at(other, "invoke " + std::string(first_id)) + times_at(other, "prewarm ") > 0;
-  }));
+  ASSERT_TRUE(pump.until(
+      [&] { return times_at(other, "invoke " + std::string(first_id)) + times_at(other, "prewarm ") > 0; }));
   for (const auto& peer : other.peers) {
     const std::size_t order = peer->seen.find("prewarm ");
     if (order == std::string::npos) continue;
--- a/tests/node/silence_test.cpp
+++ b/tests/node/silence_test.cpp
@@ -1,13 +1,13 @@
 // Servers and routers that fall silent late: a server after half an answer, a router's peer for seconds.
-#include "node_process.h"
 #include "node/node.h"
+#include "node_process.h"
 #include "platform_story.h"
 
 namespace rushhill::node {
 namespace {
 
-constexpr Time second = 10'000;         // tenths of a millisecond
-constexpr Time deadline = 25'000;       // as the configuration says
+constexpr Time second = 10'000;    // tenths of a millisecond
+constexpr Time deadline = 25'000;  // as the configuration says
 constexpr const char* half_answer = " HIT - 2\r\no";
 constexpr const char* other_half = "k\r\n";
 
--- a/tests/node/whole_list_test.cpp
+++ b/tests/node/whole_list_test.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr const char* first_id = "aaaaaaaaaaaaaaaa";
-constexpr Time settle = 5'000;          // tenths of a millisecond; for what should not happen at once
-constexpr Time drain_grace = 20'000;    // as the configuration says
-constexpr int requests_at_once = 6;     // beyond what a cold server is given, below what a warm one bears
+constexpr Time settle = 5'000;            // tenths of a millisecond; for what should not happen at once
+constexpr Time drain_grace = 20'000;      // as the configuration says
+constexpr int requests_at_once = 6;       // beyond what a cold server is given, below what a warm one bears
 constexpr int most_at_a_cold_server = 3;  // of them; its rating is 1
 
 class WholeListStory : public PlatformStory {
