Rename: package fronts to frontends

Cause: the name needed explaining; what others call the side of a gateway that clients meet (docs/terms.md).

--- a/src/command/node.cpp
+++ b/src/command/node.cpp
@@ -45,7 +45,7 @@
   reactor.run();
   diary.line(core::Level::info, "ended",
              {{"open", std::to_string(router.gateway().open())},
-              {"requests", fronts::to_text(router.front().counts())},
+              {"requests", frontends::to_text(router.front().counts())},
               {"attempts_after_cancel", std::to_string(router.gateway().tally().attempts_after_cancel)}});
   reactor.forget_all();
   return 0;
--- a/src/fronts/eviction.h
+++ b/src/frontends/eviction.h
@@ -10,7 +10,7 @@
 
 #include "core/clockwork.h"
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 
 // What a connection is held for; what stands first goes first, and of equal ones the one that has been so for
 // longest. One with a request that awaits its answer never goes.
@@ -92,4 +92,4 @@
   Time look_at_ = 0, full_since_ = 0;
 };
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/fastcgi_front.cpp
+++ b/src/frontends/fastcgi_front.cpp
@@ -1,4 +1,4 @@
-#include "fronts/fastcgi_front.h"
+#include "frontends/fastcgi_front.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 namespace {
 
 using fastcgi::Ended;
@@ -458,4 +458,4 @@
   for (const auto& [connection, held] : connections_) connection->finish();
 }
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/fastcgi_front.h
+++ b/src/frontends/fastcgi_front.h
@@ -9,12 +9,12 @@
 
 #include "core/gateway.h"
 #include "fastcgi/records.h"
-#include "fronts/eviction.h"
-#include "fronts/request_accounting.h"
+#include "frontends/eviction.h"
+#include "frontends/request_accounting.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 
 struct FastCgiRules {
   std::size_t connections = 256;    // at once
@@ -71,4 +71,4 @@
   core::Alarm alarm_;
 };
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/http_front.cpp
+++ b/src/frontends/http_front.cpp
@@ -1,4 +1,4 @@
-#include "fronts/http_front.h"
+#include "frontends/http_front.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 namespace {
 
 using Json = nlohmann::json;
@@ -403,4 +403,4 @@
   for (const auto& [connection, held] : connections_) connection->wind_up();
 }
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/http_front.h
+++ b/src/frontends/http_front.h
@@ -9,13 +9,13 @@
 
 #include "core/gateway.h"
 #include "core/intake.h"
-#include "fronts/eviction.h"
-#include "fronts/request_accounting.h"
+#include "frontends/eviction.h"
+#include "frontends/request_accounting.h"
 #include "transport/http.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 
 struct HttpRules {
   int connections = 20'000;
@@ -66,4 +66,4 @@
   Eviction<Connection> eviction_;
 };
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/mqtt_front.cpp
+++ b/src/frontends/mqtt_front.cpp
@@ -1,4 +1,4 @@
-#include "fronts/mqtt_front.h"
+#include "frontends/mqtt_front.h"
 
 #include <algorithm>
 #include <deque>
@@ -13,7 +13,7 @@
 #include "taking/deliveries.h"
 #include "taking/tries.h"
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 namespace {
 
 using mqtt::Packet;
@@ -566,4 +566,4 @@
   return std::ranges::all_of(sessions_, [](const auto& session) { return session->idle(); });
 }
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/mqtt_front.h
+++ b/src/frontends/mqtt_front.h
@@ -12,7 +12,7 @@
 #include "deployment/deployment_file.h"
 #include "transport/reactor.h"
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 
 struct MqttTally {
   std::uint64_t received = 0, redelivered = 0, joined = 0, answered_again = 0, dead = 0, expired = 0,
@@ -48,4 +48,4 @@
 // events::BadEvent.
 events::CloudEvent event_of(const deployment::MqttTopic& rule, const mqtt::Packet& publish, int version);
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/request_accounting.cpp
+++ b/src/frontends/request_accounting.cpp
@@ -1,9 +1,9 @@
-#include "fronts/request_accounting.h"
+#include "frontends/request_accounting.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 
 std::string to_prometheus(const RequestCounts& counts) {
   std::string out;
@@ -62,4 +62,4 @@
   totals_.open -= lost;
 }
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/fronts/request_accounting.h
+++ b/src/frontends/request_accounting.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace rushhill::fronts {
+namespace rushhill::frontends {
 
 // Totals of one frontend since its start, in requests.
 struct RequestCounts {
@@ -55,4 +55,4 @@
   std::vector<std::size_t> output_ends_;  // of answers that are written and not out, in their order; few
 };
 
-}  // namespace rushhill::fronts
+}  // namespace rushhill::frontends
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,7 +7,7 @@
 
 #include "carrying/line_pool.h"
 #include "core/gateway.h"
-#include "fronts/fastcgi_front.h"
+#include "frontends/fastcgi_front.h"
 #include "membership/board_client.h"
 #include "node/configuration.h"
 #include "transport/bare_peers.h"
@@ -26,7 +26,7 @@
   transport::Address address() const { return address_; }
   core::Gateway& gateway() { return gateway_; }
   carrying::LinePool& pool() { return pool_; }
-  const fronts::FastCgiFront& front() const { return front_; }
+  const frontends::FastCgiFront& front() const { return front_; }
 
   // The configuration has been replaced: follows discovery to its address and takes from its server list what
   // discovery has not told yet. All else stays as it was at the start, and the log says so where it differs.
@@ -46,7 +46,7 @@
   std::unique_ptr<transport::BarePeers> peers_;
   std::unique_ptr<membership::BoardClient> board_;
   core::Gateway gateway_;
-  fronts::FastCgiFront front_;
+  frontends::FastCgiFront front_;
   transport::Address address_;
   Time requests_until_ = 0, end_by_ = 0;
   Time longest_limit_ = 0;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -126,7 +126,7 @@
   gateway_.roster(recalled.form, recalled.entries);
   if (roster_ && !program.module.roster_on_request) roster_->follow(true);
   if (!program.mqtt.address.empty())
-    mqtt_ = std::make_unique<fronts::MqttFront>(reactor, gateway_, intake_, diary, program.mqtt, seed);
+    mqtt_ = std::make_unique<frontends::MqttFront>(reactor, gateway_, intake_, diary, program.mqtt, seed);
   const std::string& where = program.http.listen;
   address_ = where.starts_with("fd:") ? front_.listen_inherited(std::stoi(where.substr(3)))
                                       : front_.listen(transport::numeric_address(where), true);
@@ -177,7 +177,7 @@
                         {"gone", tally.gone},
                         {"refused", tally.refused},
                         {"overdue", tally.overdue},
-                        {"http_requests", fronts::to_text(front_.counts())},
+                        {"http_requests", frontends::to_text(front_.counts())},
                         {"shots", tally.shots},
                         {"attempts_after_cancel", tally.attempts_after_cancel},
                         {"probes", tally.probes},
--- a/src/router/router_process.h
+++ b/src/router/router_process.h
@@ -9,8 +9,8 @@
 #include "core/gateway.h"
 #include "core/intake.h"
 #include "deployment/deployment_file.h"
-#include "fronts/http_front.h"
-#include "fronts/mqtt_front.h"
+#include "frontends/http_front.h"
+#include "frontends/mqtt_front.h"
 #include "membership/roster_client.h"
 #include "router/shared_state.h"
 #include "transport/peer_links.h"
@@ -31,7 +31,7 @@
   transport::Address address() const { return address_; }
   core::Gateway& gateway() { return gateway_; }
   transport::ServerPool& pool() { return pool_; }
-  fronts::MqttFront* mqtt() { return mqtt_.get(); }  // none: no broker
+  frontends::MqttFront* mqtt() { return mqtt_.get(); }  // none: no broker
 
   // Takes nothing more and calls `ended` once nothing is open, or when the told time is up.
   void wind_up(std::function<void()> ended);
@@ -53,8 +53,8 @@
   std::unique_ptr<membership::RosterClient> roster_;
   core::Gateway gateway_;
   core::Intake intake_;
-  fronts::HttpFront front_;
-  std::unique_ptr<fronts::MqttFront> mqtt_;
+  frontends::HttpFront front_;
+  std::unique_ptr<frontends::MqttFront> mqtt_;
   transport::Address address_;
   Time end_by_ = 0;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
--- a/tests/fronts/mqtt_front_test.cpp
+++ b/tests/frontends/mqtt_front_test.cpp
@@ -1,5 +1,5 @@
 // MQTT triggers before a broker's stand-in that fails by script, with one raw model server behind the router.
-#include "fronts/mqtt_front.h"
+#include "frontends/mqtt_front.h"
 
 #include <map>
 
@@ -100,7 +100,7 @@
       if (!peer->ended) reply(*peer);
     }
   }
-  const fronts::MqttTally& tally() { return router->mqtt()->tally(); }
+  const frontends::MqttTally& tally() { return router->mqtt()->tally(); }
 
   transport::Loop reactor;
   Pump pump{reactor};
--- a/tests/node/pieces_test.cpp
+++ b/tests/node/pieces_test.cpp
@@ -44,7 +44,7 @@
                                    {}, discovery.address(), host("s1", one.address(), "active", 0, "16"))),
                                silent);
   }
-  const fronts::RequestCounts& counts() const { return router->front().counts(); }
+  const frontends::RequestCounts& counts() const { return router->front().counts(); }
 
   bool answering = true;
   std::vector<std::string> ids;  // of the requests that the server has answered
--- a/tests/node/requests_test.cpp
+++ b/tests/node/requests_test.cpp
@@ -10,7 +10,7 @@
 namespace rushhill::node {
 namespace {
 
-using fronts::RequestCounts;
+using frontends::RequestCounts;
 
 constexpr const char* first_id = "aaaaaaaaaaaaaaaa";
 constexpr const char* second_id = "bbbbbbbbbbbbbbbb";
