Rename: package lines to line_protocol

Cause: the name needed explaining; it is the protocol between routers and model servers (docs/terms.md).

--- a/src/carrying/line_pool.cpp
+++ b/src/carrying/line_pool.cpp
@@ -106,7 +106,7 @@
     const std::string tag = tag_of(event, leg);
     if (tag.empty() || recall(tag)) return;
     take(tag);
-    if (!open_.empty()) stream_->write(lines::abort(tag));
+    if (!open_.empty()) stream_->write(line_protocol::abort(tag));
     retire();
   }
 
@@ -147,14 +147,14 @@
     const auto self = hold();
     came_ = true;
     reader_.put(bytes);
-    lines::Answer answer;
+    line_protocol::Answer answer;
     while (!over_) {
       switch (reader_.next(answer)) {
-        case lines::Progress::more:
+        case line_protocol::Progress::more:
           return;
-        case lines::Progress::bad:
+        case line_protocol::Progress::bad:
           return spoilt(reader_.suspect());
-        case lines::Progress::answer:
+        case line_protocol::Progress::answer:
           break;
       }
       if (!open_.contains(answer.id)) continue;  // unknown, a second one, or of what was given up
@@ -244,7 +244,7 @@
   transport::Reactor& reactor_;  // also when the pool is gone
   Server& server_;
   std::shared_ptr<Stream> stream_;
-  lines::Reader reader_;
+  line_protocol::Reader reader_;
   std::map<std::string, Exchange, std::less<>> open_;
   std::deque<std::string> carried_ids_;
   core::Alarm alarm_;
@@ -365,12 +365,12 @@
 
 void LinePool::shoot(const core::ShotCall& call) {
   const std::string *function = call.message.other("function"), *number = call.message.other("number");
-  start(call.server,
-        {.event = call.event,
-         .leg = call.leg,
-         .tag = call.message.id,
-         .bytes = lines::invoke(call.message.id, call.message.type, function == nullptr ? "" : *function,
-                                call.left, number == nullptr ? "" : *number, call.message.data)});
+  start(call.server, {.event = call.event,
+                      .leg = call.leg,
+                      .tag = call.message.id,
+                      .bytes = line_protocol::invoke(call.message.id, call.message.type,
+                                                     function == nullptr ? "" : *function, call.left,
+                                                     number == nullptr ? "" : *number, call.message.data)});
 }
 
 void LinePool::drop(EventId event, int leg) {
@@ -401,7 +401,7 @@
   const std::string tag = "p" + std::to_string(next_tag_++);
   start(server, {.kind = Exchange::Kind::probe,
                  .tag = tag,
-                 .bytes = bounds_.reports ? lines::gauges(tag) : lines::alive(tag),
+                 .bytes = bounds_.reports ? line_protocol::gauges(tag) : line_protocol::alive(tag),
                  .limit = reactor_.now() + limit});
 }
 
@@ -410,26 +410,28 @@
   start(server, {.kind = Exchange::Kind::order,
                  .function = function,
                  .tag = tag,
-                 .bytes = lines::prewarm(tag, function, copies),
+                 .bytes = line_protocol::prewarm(tag, function, copies),
                  .limit = reactor_.now() + limit});
 }
 
 void LinePool::unload(const ServerId& server, const FunctionId& function) {
-  start(server, {.kind = Exchange::Kind::unload, .function = function, .bytes = lines::evict(function)});
+  start(server,
+        {.kind = Exchange::Kind::unload, .function = function, .bytes = line_protocol::evict(function)});
 }
 
-void LinePool::answered(const Exchange& exchange, lines::Answer answer) {
+void LinePool::answered(const Exchange& exchange, line_protocol::Answer answer) {
   using Kind = Exchange::Kind;
   if (exchange.kind == Kind::shot) {
-    auto result = lines::shot_result(std::move(answer));
+    auto result = line_protocol::shot_result(std::move(answer));
     if (!result) return end(exchange, Ending::error);  // a word that answers no shot: it may have run
     return carried_->shot_ended(exchange.event, exchange.leg, std::move(*result));
   }
-  const bool good = answer.word == (exchange.kind == Kind::probe ? lines::Word::pong : lines::Word::hit) ||
-                    (exchange.kind == Kind::probe && answer.word == lines::Word::hit);
-  const Ending ending = good                               ? Ending::honoured
-                        : answer.word == lines::Word::shed ? Ending::turned_away
-                                                           : Ending::error;
+  const bool good =
+      answer.word == (exchange.kind == Kind::probe ? line_protocol::Word::pong : line_protocol::Word::hit) ||
+      (exchange.kind == Kind::probe && answer.word == line_protocol::Word::hit);
+  const Ending ending = good                                       ? Ending::honoured
+                        : answer.word == line_protocol::Word::shed ? Ending::turned_away
+                                                                   : Ending::error;
   if (exchange.kind == Kind::probe) return carried_->probe_ended(exchange.server, ending, answer.report);
   carried_->order_ended(exchange.server, exchange.function, ending, answer.copies);
 }
--- a/src/carrying/line_pool.h
+++ b/src/carrying/line_pool.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "core/ports.h"
-#include "lines/answers.h"
+#include "line_protocol/answers.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
 
@@ -22,7 +22,7 @@
   Time connect_limit = 0;         // tenths of a millisecond
   Time idle = 0;                  // likewise; below the time after which servers close
   bool reports = false;           // probes ask for the load report
-  lines::Bounds answers{};
+  line_protocol::Bounds answers{};
 };
 
 class LinePool final : public core::Carrier {
@@ -59,7 +59,7 @@
   bool make_room();
   void fail_soon(Exchange exchange, Ending ending);
   void end(const Exchange& exchange, Ending ending);
-  void answered(const Exchange& exchange, lines::Answer answer);
+  void answered(const Exchange& exchange, line_protocol::Answer answer);
   void forget(Link& link);
   void drop_if_unused(const ServerId& id);
 
--- a/src/lines/answers.cpp
+++ b/src/line_protocol/answers.cpp
@@ -1,4 +1,4 @@
-#include "lines/answers.h"
+#include "line_protocol/answers.h"
 
 #include <algorithm>
 #include <array>
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <utility>
 
-namespace rushhill::lines {
+namespace rushhill::line_protocol {
 namespace {
 
 constexpr std::size_t longest_id = 64;  // bytes; ours have 16
@@ -180,4 +180,4 @@
   return std::nullopt;
 }
 
-}  // namespace rushhill::lines
+}  // namespace rushhill::line_protocol
--- a/src/lines/answers.h
+++ b/src/line_protocol/answers.h
@@ -9,7 +9,7 @@
 #include "core/ports.h"
 #include "decide.h"
 
-namespace rushhill::lines {
+namespace rushhill::line_protocol {
 
 enum class Word { hit, none, shed, fault, late, pong, sick };
 
@@ -64,4 +64,4 @@
 // What an answer to a shot says; nothing: it is no answer to a shot.
 std::optional<core::ShotResult> shot_result(Answer answer);
 
-}  // namespace rushhill::lines
+}  // namespace rushhill::line_protocol
--- a/tests/fuzz/platform_fuzz.cpp
+++ b/tests/fuzz/platform_fuzz.cpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "fastcgi/records.h"
-#include "lines/answers.h"
+#include "line_protocol/answers.h"
 #include "membership/board_words.h"
 
 namespace {
@@ -38,16 +38,16 @@
 }
 
 void answers(const std::string& text, std::size_t step) {
-  lines::Reader reader({.line = 256, .body = 4096});
-  lines::Answer answer;
+  line_protocol::Reader reader({.line = 256, .body = 4096});
+  line_protocol::Answer answer;
   for (std::size_t at = 0; at < text.size(); at += step) {
     reader.put(text.substr(at, step));
     auto progress = reader.next(answer);
-    for (; progress == lines::Progress::answer; progress = reader.next(answer)) {
+    for (; progress == line_protocol::Progress::answer; progress = reader.next(answer)) {
       must(!answer.id.empty() && answer.body.size() <= 4096 && answer.crowd >= 0 && answer.crowd <= 30);
-      lines::shot_result(std::move(answer));
+      line_protocol::shot_result(std::move(answer));
     }
-    if (progress == lines::Progress::bad) return;
+    if (progress == line_protocol::Progress::bad) return;
   }
 }
 
--- a/tests/lines/answers_test.cpp
+++ b/tests/line_protocol/answers_test.cpp
@@ -1,10 +1,10 @@
 // The model servers' answers, byte by byte: what is whole is read, what is spoilt is never taken for an
 // answer.
-#include "lines/answers.h"
+#include "line_protocol/answers.h"
 
 #include <gtest/gtest.h>
 
-namespace rushhill::lines {
+namespace rushhill::line_protocol {
 namespace {
 
 const std::string good =
@@ -98,4 +98,4 @@
 }
 
 }  // namespace
-}  // namespace rushhill::lines
+}  // namespace rushhill::line_protocol
