--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,13 +5,13 @@
 #include <functional>
 #include <memory>
 
-#include "carrying/line_pool.h"
 #include "core/gateway.h"
 #include "frontends/fastcgi_front.h"
 #include "membership/board_client.h"
 #include "node/configuration.h"
 #include "transport/bare_peers.h"
 #include "transport/descriptors.h"
+#include "upstream/line_pool.h"
 
 namespace rushhill::node {
 
@@ -25,7 +25,7 @@
 
   transport::Address address() const { return address_; }
   core::Gateway& gateway() { return gateway_; }
-  carrying::LinePool& pool() { return pool_; }
+  upstream::LinePool& pool() { return pool_; }
   const frontends::FastCgiFront& front() const { return front_; }
 
   // The configuration has been replaced: follows discovery to its address and takes from its server list what
@@ -42,7 +42,7 @@
   transport::Reactor& reactor_;
   core::Diary& diary_;
   transport::DescriptorShares shares_;
-  carrying::LinePool pool_;
+  upstream::LinePool pool_;
   std::unique_ptr<transport::BarePeers> peers_;
   std::unique_ptr<membership::BoardClient> board_;
   core::Gateway gateway_;
--- a/src/carrying/line_pool.cpp
+++ b/src/upstream/line_pool.cpp
@@ -1,4 +1,4 @@
-#include "carrying/line_pool.h"
+#include "upstream/line_pool.h"
 
 #include <algorithm>
 #include <deque>
@@ -6,7 +6,7 @@
 
 #include "transport/idle_close.h"
 
-namespace rushhill::carrying {
+namespace rushhill::upstream {
 namespace {
 
 using transport::Loss;
@@ -444,4 +444,4 @@
   if (exchange.kind == Kind::order) carried_->order_ended(exchange.server, exchange.function, ending, 0);
 }
 
-}  // namespace rushhill::carrying
+}  // namespace rushhill::upstream
--- a/src/carrying/line_pool.h
+++ b/src/upstream/line_pool.h
@@ -14,7 +14,7 @@
 #include "transport/numbered.h"
 #include "transport/reactor.h"
 
-namespace rushhill::carrying {
+namespace rushhill::upstream {
 
 struct LineBounds {
   int shots_a_connection = 1;     // at once
@@ -74,4 +74,4 @@
   std::shared_ptr<int> life_ = std::make_shared<int>(0);  // what was put off is void when the pool is gone
 };
 
-}  // namespace rushhill::carrying
+}  // namespace rushhill::upstream
--- a/tests/core/idle_close_test.cpp
+++ b/tests/core/idle_close_test.cpp
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "carrying/line_pool.h"
 #include "core/gateway.h"
 #include "emulator/network.h"
 #include "loopback.h"
 #include "transport/server_pool.h"
+#include "upstream/line_pool.h"
 
 namespace rushhill::core {
 namespace {
@@ -66,9 +66,9 @@
 
   IdleClose() {
     if (lines()) {
-      auto pool = std::make_unique<carrying::LinePool>(
+      auto pool = std::make_unique<upstream::LinePool>(
           reactor,
-          carrying::LineBounds{
+          upstream::LineBounds{
               .connections = 8, .connect_limit = connect_limit, .idle = idle, .reports = true},
           silent);
       report = [&pool = *pool](Carried& to) { pool.report_to(to); };
--- a/tests/carrying/line_pool_test.cpp
+++ b/tests/upstream/line_pool_test.cpp
@@ -1,10 +1,10 @@
 // The way to the model servers over lines: whatever a server sends at any byte, a shot ends exactly once and
 // with the ending that is known for certain.
-#include "carrying/line_pool.h"
+#include "upstream/line_pool.h"
 
 #include "loopback.h"
 
-namespace rushhill::carrying {
+namespace rushhill::upstream {
 namespace {
 
 struct Ends final : core::Carried {
@@ -291,4 +291,4 @@
 }
 
 }  // namespace
-}  // namespace rushhill::carrying
+}  // namespace rushhill::upstream
