Rename: package taking to admission

Cause: the name needed explaining; it decides which requests are admitted, and when (docs/terms.md).

--- a/src/taking/deliveries.cpp
+++ b/src/admission/deliveries.cpp
@@ -1,6 +1,6 @@
-#include "taking/deliveries.h"
+#include "admission/deliveries.h"
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 
 void Deliveries::lapse(Time now) {
   while (!order_.empty() && (order_.front().first + span_ <= now || order_.size() > most_)) {
@@ -30,4 +30,4 @@
   return it->second.first;
 }
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/taking/deliveries.h
+++ b/src/admission/deliveries.h
@@ -10,7 +10,7 @@
 
 #include "decide.h"
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 
 enum class Outcome { honoured, shed, abandoned };
 
@@ -44,4 +44,4 @@
   std::deque<std::pair<Time, std::string>> order_;
 };
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/taking/shares.cpp
+++ b/src/admission/shares.cpp
@@ -1,8 +1,8 @@
-#include "taking/shares.h"
+#include "admission/shares.h"
 
 #include <algorithm>
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 namespace {
 
 constexpr std::size_t reserve_parts = 4;  // a quarter of its part is kept free for a source that is below it
@@ -33,4 +33,4 @@
   return open_ + reserved < whole_;
 }
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/taking/shares.h
+++ b/src/admission/shares.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <vector>
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 
 // Each source has a part of the whole by its weight that is always its own to take. What others leave of
 // theirs may be borrowed but for a reserve, which is kept free for each that is below its part.
@@ -50,4 +50,4 @@
   std::size_t open_ = 0;
 };
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/taking/tries.cpp
+++ b/src/admission/tries.cpp
@@ -1,8 +1,8 @@
-#include "taking/tries.h"
+#include "admission/tries.h"
 
 #include <algorithm>
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 namespace {
 
 constexpr Time first_rest = 1'000;  // tenths of a millisecond, where the core advises nothing
@@ -43,4 +43,4 @@
   if (made_.erase(mark) > 0) std::erase(order_, mark);
 }
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/taking/tries.h
+++ b/src/admission/tries.h
@@ -8,10 +8,10 @@
 #include <optional>
 #include <string>
 
+#include "admission/deliveries.h"
 #include "decide.h"
-#include "taking/deliveries.h"
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 
 class Tries {
  public:
@@ -32,4 +32,4 @@
   std::deque<std::string> order_;
 };
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/taking/yielding.cpp
+++ b/src/admission/yielding.cpp
@@ -1,9 +1,9 @@
-#include "taking/yielding.h"
+#include "admission/yielding.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 namespace {
 
 constexpr Time beat_length = 1'000;    // tenths of a millisecond; short beside due times, long beside answers
@@ -110,4 +110,4 @@
   }
 }
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/taking/yielding.h
+++ b/src/admission/yielding.h
@@ -10,7 +10,7 @@
 
 #include "decide.h"
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 
 class Yielding {
  public:
@@ -47,4 +47,4 @@
   int rest_ = 0;
 };
 
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -20,8 +20,8 @@
   return value ^ value >> 31U;
 }
 
-const char* word(taking::Yielding::End end) {
-  using End = taking::Yielding::End;
+const char* word(admission::Yielding::End end) {
+  using End = admission::Yielding::End;
   return end == End::honoured ? "honoured" : end == End::given_up ? "given up" : "gone";
 }
 
@@ -65,7 +65,7 @@
   return it == deployment_.traffic_types.end() ? Effect::at_most_once : it->effect;
 }
 
-std::optional<EventId> Gateway::take(taking::Shares::Source source, Client& client, Event told,
+std::optional<EventId> Gateway::take(admission::Shares::Source source, Client& client, Event told,
                                      events::CloudEvent message) {
   if (!shares_.may_take(source)) {
     ++tally_.refused;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/shares.h"
+#include "admission/yielding.h"
 #include "core/clockwork.h"
 #include "core/ports.h"
 #include "decide.h"
-#include "taking/shares.h"
-#include "taking/yielding.h"
 
 namespace rushhill::core {
 
@@ -43,18 +43,18 @@
 
   // A front, or a part of one, that takes events; its weight beside the others' when there is not room for
   // all; `waits`: what it does not take now waits outside and is not lost.
-  taking::Shares::Source add_source(double weight, bool waits = false) {
+  admission::Shares::Source add_source(double weight, bool waits = false) {
     yielding_.add(weight, waits);
     return shares_.add(weight);
   }
-  bool has_room(taking::Shares::Source source) {
+  bool has_room(admission::Shares::Source source) {
     return shares_.may_take(source) && yielding_.may_take(to_.clock.now(), source);
   }
   Effect effect_of(const std::string& traffic_type) const;
 
   // An event whose function, type and times the front has read; `told.id` and, where 0, `told.left` are set
   // here. Nothing: the source has no room. The answer never comes before this returns.
-  std::optional<EventId> take(taking::Shares::Source source, Client& client, Event told,
+  std::optional<EventId> take(admission::Shares::Source source, Client& client, Event told,
                               events::CloudEvent message);
   // `unread`: attempts that started for it while something stood unread of which this is a part.
   void client_gone(EventId event, std::uint64_t unread = 0);
@@ -89,7 +89,7 @@
     Alarm time_out{};
   };
   struct Open {
-    taking::Shares::Source source = 0;
+    admission::Shares::Source source = 0;
     Client* client = nullptr;  // none: it has been handed its final answer, or its client has gone
     bool concluded = false;
     bool marked = false;           // the ledger is to hear how it ends
@@ -117,7 +117,7 @@
   void log(const std::string& line) override;
 
   void soon(Clockwork::Call call);
-  using End = taking::Yielding::End;
+  using End = admission::Yielding::End;
   void conclude(EventId event, Open& open, End end, Fate fate);
   static Fate fate_of(const Open& open) { return open.legs.empty() ? Fate::unrun : Fate::may_have_run; }
   void proceed(EventId event, Open& open, Event told, Taking how);
@@ -138,8 +138,8 @@
   std::map<std::pair<ServerId, FunctionId>, std::vector<Time>> orders_out_;
   std::map<ServerId, std::vector<Time>> probes_out_;
   EventId next_ = 1;
-  taking::Shares shares_;
-  taking::Yielding yielding_;
+  admission::Shares shares_;
+  admission::Yielding yielding_;
   std::int64_t module_ns_ = 0;
   Tally tally_;
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
--- a/src/frontends/fastcgi_front.h
+++ b/src/frontends/fastcgi_front.h
@@ -61,7 +61,7 @@
   core::Gateway& gateway_;
   core::Diary& diary_;
   FastCgiRules rules_;
-  taking::Shares::Source source_;
+  admission::Shares::Source source_;
   RequestCounts counts_;  // outlives the connections
   bool ready_ = false;
   std::unique_ptr<transport::Listener> listener_;
--- a/src/frontends/http_front.h
+++ b/src/frontends/http_front.h
@@ -57,7 +57,7 @@
   const core::Intake& intake_;
   core::Diary& diary_;
   HttpRules rules_;
-  taking::Shares::Source source_;
+  admission::Shares::Source source_;
   RequestCounts counts_;  // outlives the connections
   bool ready_ = false, winding_up_ = false;
   std::function<std::string()> standing_;
--- a/src/frontends/mqtt_front.cpp
+++ b/src/frontends/mqtt_front.cpp
@@ -10,15 +10,15 @@
 #include <unordered_map>
 #include <utility>
 
-#include "taking/deliveries.h"
-#include "taking/tries.h"
+#include "admission/deliveries.h"
+#include "admission/tries.h"
 
 namespace rushhill::frontends {
 namespace {
 
+using admission::Outcome;
 using mqtt::Packet;
 using mqtt::Type;
-using taking::Outcome;
 
 constexpr std::size_t longest_packet = 1024 * 1024;  // bytes; as large as the HTTP front's bodies by default
 constexpr std::size_t most_remembered = 100'000;     // marks of ended messages a session knows at most
@@ -285,16 +285,16 @@
     message.mark = message.event.source + " " + message.event.id;
     if (front_.winding_up_ && !deliveries_.knows(message.mark)) return;  // not taken: it stays the broker's
     switch (deliveries_.meet(reactor_.now(), message.mark)) {
-      case taking::Deliveries::Meeting::answered: {
+      case admission::Deliveries::Meeting::answered: {
         ++front_.tally_.answered_again;
         if (const auto it = answers_.find(message.mark); it != answers_.end()) tell(it->second);
         return settle(held, mqtt::success);
       }
-      case taking::Deliveries::Meeting::joins: {
+      case admission::Deliveries::Meeting::joins: {
         ++front_.tally_.joined;
         return hold(held);
       }
-      case taking::Deliveries::Meeting::fresh:
+      case admission::Deliveries::Meeting::fresh:
         break;
     }
     // Came before, to an earlier life of this router: it may have run there.
@@ -521,11 +521,11 @@
   transport::Reactor& reactor_;
   deployment::MqttTopic rule_;
   int window_;
-  taking::Shares::Source source_;
+  admission::Shares::Source source_;
   std::ranlux24_base chance_;
   mqtt::Reader reader_;
-  taking::Deliveries deliveries_;
-  taking::Tries tries_;
+  admission::Deliveries deliveries_;
+  admission::Tries tries_;
   std::shared_ptr<transport::Stream> stream_;
   std::string in_;
   std::map<std::uint16_t, Held> in_hand_;  // deliveries without an acknowledgement, by packet identifier
--- a/src/scale/hollow.h
+++ b/src/scale/hollow.h
@@ -180,7 +180,7 @@
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
   std::string calling_, region_;
   core::Gateway gateway_;
-  taking::Shares::Source source_;
+  admission::Shares::Source source_;
 };
 
 }  // namespace rushhill::scale
--- a/tests/taking/taking_test.cpp
+++ b/tests/admission/taking_test.cpp
@@ -7,12 +7,12 @@
 #include <limits>
 #include <vector>
 
-#include "taking/deliveries.h"
-#include "taking/shares.h"
-#include "taking/tries.h"
-#include "taking/yielding.h"
+#include "admission/deliveries.h"
+#include "admission/shares.h"
+#include "admission/tries.h"
+#include "admission/yielding.h"
 
-namespace rushhill::taking {
+namespace rushhill::admission {
 namespace {
 
 TEST(Shares, AFloodLeavesTheOthersTheirRoomAndTakesWhatTheyLeave) {
@@ -200,4 +200,4 @@
 }
 
 }  // namespace
-}  // namespace rushhill::taking
+}  // namespace rushhill::admission
--- a/tests/core/gateway_test.cpp
+++ b/tests/core/gateway_test.cpp
@@ -136,7 +136,7 @@
   Told told;
   Ledger* ledger = nullptr;
   std::unique_ptr<Gateway> gateway;
-  taking::Shares::Source source = 0;
+  admission::Shares::Source source = 0;
 };
 
 TEST_F(GatewayStory, AnAnswerInTheTickOfTheHardLimitComesTooLateAndOnlyOneAnswerLeaves) {
--- a/tests/core/idle_close_test.cpp
+++ b/tests/core/idle_close_test.cpp
@@ -183,7 +183,7 @@
   std::unique_ptr<Carrier> carrier;
   std::function<void(Carried&)> report;
   std::unique_ptr<Gateway> gateway;
-  taking::Shares::Source source = 0;
+  admission::Shares::Source source = 0;
   int answered = 0, read = 0;    // by the servers: all, and requests alone
   std::uint64_t after_loss = 0;  // attempts begun by the millisecond in which the first one's loss was told
 };
