--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -5,18 +5,18 @@
 #include <set>
 #include <utility>
 
-#include "told/deployment.h"
+#include "settings/deployment.h"
 
 namespace rushhill::benchlink {
 namespace {
 
 using Json = nlohmann::json;
-using told::ceil_time;
-using told::Fields;
-using told::floor_time;
-using told::read_deployment;
-using told::read_server;
-using told::to_ns;
+using settings::ceil_time;
+using settings::Fields;
+using settings::floor_time;
+using settings::read_deployment;
+using settings::read_server;
+using settings::to_ns;
 
 constexpr std::array ending_words{"served",     "server_error",  "turned_away",
                                   "no_answer",  "no_connection", "connection_lost",
--- a/src/benchlink/wire.h
+++ b/src/benchlink/wire.h
@@ -13,12 +13,12 @@
 #include <vector>
 
 #include "decide.h"
-#include "told/fields.h"
+#include "settings/fields.h"
 
 namespace rushhill::benchlink {
 
 // A line that is not as the wire's description says: ends the program with a plain message.
-using BadLine = told::BadField;
+using BadLine = settings::BadField;
 
 class Link {
  public:
--- a/src/membership/board_client.cpp
+++ b/src/membership/board_client.cpp
@@ -142,7 +142,7 @@
   Notice notice;
   try {
     notice = read_line(text, wall_offset_);
-  } catch (const told::BadField& wrong) {
+  } catch (const settings::BadField& wrong) {
     diary_.line(core::Level::warning, "notice cannot be read",
                 {{"reason", wrong.what()}, {"line", std::string(text.substr(0, shown))}});
     return again("unreadable");
--- a/src/membership/board_words.cpp
+++ b/src/membership/board_words.cpp
@@ -8,8 +8,8 @@
 
 constexpr std::array condition_words{"active", "leaving", "left"};
 
-core::RosterEntry read_host(const told::Json& json, Time wall_offset) {
-  const told::Fields fields(json, "hosts");
+core::RosterEntry read_host(const settings::Json& json, Time wall_offset) {
+  const settings::Fields fields(json, "hosts");
   core::RosterEntry entry;
   entry.server.id = fields.text("host");
   entry.server.condition = fields.word<Condition>("health", condition_words);
@@ -25,29 +25,30 @@
 
 }  // namespace
 
-Notice read_notice(const told::Json& event, Time wall_offset) {
-  const told::Fields fields(event);
+Notice read_notice(const settings::Json& event, Time wall_offset) {
+  const settings::Fields fields(event);
   Notice notice;
   notice.number = fields.whole("rev");
-  const told::Fields pool = fields.object("pool");
+  const settings::Fields pool = fields.object("pool");
   notice.whole = pool.flag("whole");
-  for (const told::Json& host : pool.list("hosts")) notice.entries.push_back(read_host(host, wall_offset));
+  for (const settings::Json& host : pool.list("hosts"))
+    notice.entries.push_back(read_host(host, wall_offset));
   return notice;
 }
 
 // An event, or the last number alone, bare or as the event's own field.
 Notice read_line(std::string_view text, Time wall_offset) {
-  const told::Json json = told::Json::parse(text, nullptr, false);
-  if (json.is_discarded()) throw told::BadField("not JSON");
+  const settings::Json json = settings::Json::parse(text, nullptr, false);
+  if (json.is_discarded()) throw settings::BadField("not JSON");
   if (json.is_number_integer()) return {.number = json.get<std::int64_t>(), .beat = true};
-  const told::Fields fields(json);
+  const settings::Fields fields(json);
   if (fields.find("pool") == nullptr) return {.number = fields.whole("rev"), .beat = true};
   return read_notice(json, wall_offset);
 }
 
-Known read_known(const told::Fields& known, Time wall_offset) {
+Known read_known(const settings::Fields& known, Time wall_offset) {
   Known read{.number = known.whole("rev")};
-  for (const told::Json& notice : known.list("notices"))
+  for (const settings::Json& notice : known.list("notices"))
     read.notices.push_back(read_notice(notice, wall_offset));
   return read;
 }
--- a/src/membership/board_words.h
+++ b/src/membership/board_words.h
@@ -8,7 +8,7 @@
 
 #include "core/ports.h"
 #include "decide.h"
-#include "told/fields.h"
+#include "settings/fields.h"
 
 namespace rushhill::membership {
 
@@ -20,13 +20,13 @@
 };
 
 // `wall_offset`: what is taken off a Unix time in tenths of a millisecond to get this process's clock.
-// All throw told::BadField.
-Notice read_notice(const told::Json& event, Time wall_offset);
+// All throw settings::BadField.
+Notice read_notice(const settings::Json& event, Time wall_offset);
 Notice read_line(std::string_view text, Time wall_offset);
 struct Known {
   std::int64_t number = 0;  // of the last event
   std::vector<Notice> notices{};
 };
-Known read_known(const told::Fields& known, Time wall_offset);
+Known read_known(const settings::Fields& known, Time wall_offset);
 
 }  // namespace rushhill::membership
--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <stdexcept>
 
-#include "told/deployment.h"
+#include "settings/deployment.h"
 #include "transport/reactor.h"
 
 namespace rushhill::node {
@@ -11,12 +11,12 @@
 
 constexpr std::size_t fewest_sockets = 32;  // descriptors; below that nothing can be served
 
-std::string address(const told::Fields& fields, const char* name) {
+std::string address(const settings::Fields& fields, const char* name) {
   std::string text = fields.text(name);
   try {
     transport::numeric_address(text);
   } catch (const std::invalid_argument& wrong) {
-    throw told::BadField(std::string("field '") + name + "': " + wrong.what());
+    throw settings::BadField(std::string("field '") + name + "': " + wrong.what());
   }
   return text;
 }
@@ -25,28 +25,28 @@
   std::uint64_t seed = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
   if (error != std::errc{} || end != text.data() + text.size())
-    throw told::BadField("field 'seed' is not a number in hex digits");
+    throw settings::BadField("field 'seed' is not a number in hex digits");
   return seed;
 }
 
 }  // namespace
 
 Configuration read_configuration(const std::string& text) {
-  const told::Json json = told::Json::parse(text, nullptr, false);
-  if (json.is_discarded()) throw told::BadField("not JSON");
-  const told::Fields fields(json);
+  const settings::Json json = settings::Json::parse(text, nullptr, false);
+  if (json.is_discarded()) throw settings::BadField("not JSON");
+  const settings::Fields fields(json);
   Configuration read;
   read.name = fields.text("name", "");
   read.listen = address(fields, "listen");
   read.seed = seed_of(fields.text("seed"));
-  const told::Fields limits = fields.object("limits");
+  const settings::Fields limits = fields.object("limits");
   const std::int64_t sockets = limits.whole("sockets");
   if (sockets < static_cast<std::int64_t>(fewest_sockets))
-    throw told::BadField("field 'limits.sockets' is below " + std::to_string(fewest_sockets));
+    throw settings::BadField("field 'limits.sockets' is below " + std::to_string(fewest_sockets));
   read.sockets = static_cast<std::size_t>(sockets);
   const std::int64_t memory = limits.whole("memory_mb", 0);
   read.memory_mb = memory > 0 ? static_cast<std::size_t>(memory) : 0;
-  read.module = told::read_deployment(fields.object("settings"));
+  read.module = settings::read_deployment(fields.object("settings"));
   if (read.module.peers) {
     read.peer_listen = address(fields, "peer_listen");
     read.peers = fields.texts("peers");
@@ -54,10 +54,10 @@
   }
   read.board = address(fields, "board");
   read.known = fields.need("known");
-  told::Json fixed = json;
+  settings::Json fixed = json;
   fixed.erase("board");
   fixed.erase("known");
-  read.fixed = fixed.dump(-1, ' ', false, told::Json::error_handler_t::replace);
+  read.fixed = fixed.dump(-1, ' ', false, settings::Json::error_handler_t::replace);
   return read;
 }
 
--- a/src/node/configuration.h
+++ b/src/node/configuration.h
@@ -22,11 +22,11 @@
   std::string peers_all{};
   std::string board{};
   Deployment module{};
-  told::Json known{};   // read when the clock's offset is known
-  std::string fixed{};  // all but discovery's address and the list, as text, to see what a reload changes
+  settings::Json known{};  // read when the clock's offset is known
+  std::string fixed{};     // all but discovery's address and the list, as text, to see what a reload changes
 };
 
-// Throws told::BadField naming what is missing or wrong.
+// Throws settings::BadField naming what is missing or wrong.
 Configuration read_configuration(const std::string& text);
 
 }  // namespace rushhill::node
--- a/src/node/reloader.cpp
+++ b/src/node/reloader.cpp
@@ -20,7 +20,7 @@
   const std::string text{std::istreambuf_iterator<char>(in), {}};
   try {
     return read_configuration(text);
-  } catch (const told::BadField& wrong) {
+  } catch (const settings::BadField& wrong) {
     throw std::invalid_argument(path + ": " + wrong.what());
   }
 }
--- a/src/scale/costs.cpp
+++ b/src/scale/costs.cpp
@@ -174,7 +174,7 @@
 }
 // As the platform's notice board writes a whole list: docs/platform.md, tests/membership/board_test.cpp.
 std::string notice_of(const std::vector<core::RosterEntry>& entries, std::int64_t number) {
-  told::Json hosts = told::Json::array();
+  settings::Json hosts = settings::Json::array();
   for (const core::RosterEntry& entry : entries)
     hosts.push_back({{"host", entry.server.id},
                      {"dial", entry.address},
@@ -184,8 +184,8 @@
                      {"health", "active"},
                      {"share", entry.server.rating},
                      {"born_ms", 0}});
-  return told::Json{{"rev", number},
-                    {"pool", {{"seq", number}, {"whole", true}, {"hosts", std::move(hosts)}}}}
+  return settings::Json{{"rev", number},
+                        {"pool", {{"seq", number}, {"whole", true}, {"hosts", std::move(hosts)}}}}
       .dump();
 }
 
--- a/src/told/deployment.cpp
+++ b/src/settings/deployment.cpp
@@ -1,8 +1,8 @@
-#include "told/deployment.h"
+#include "settings/deployment.h"
 
 #include <array>
 
-namespace rushhill::told {
+namespace rushhill::settings {
 namespace {
 
 constexpr std::array effect_words{"free", "guarded", "single_shot"};
@@ -121,4 +121,4 @@
   return server;
 }
 
-}  // namespace rushhill::told
+}  // namespace rushhill::settings
--- a/src/told/deployment.h
+++ b/src/settings/deployment.h
@@ -5,12 +5,12 @@
 #include <vector>
 
 #include "decide.h"
-#include "told/fields.h"
+#include "settings/fields.h"
 
-namespace rushhill::told {
+namespace rushhill::settings {
 
 // Times come in nanoseconds. Throws BadField.
 Deployment read_deployment(const Fields& info);
 ModelServer read_server(const Json& entry);
 
-}  // namespace rushhill::told
+}  // namespace rushhill::settings
--- a/src/told/fields.h
+++ b/src/settings/fields.h
@@ -13,7 +13,7 @@
 
 #include "decide.h"
 
-namespace rushhill::told {
+namespace rushhill::settings {
 
 using Json = nlohmann::json;
 
@@ -124,4 +124,4 @@
   std::string where_;
 };
 
-}  // namespace rushhill::told
+}  // namespace rushhill::settings
--- a/tests/fuzz/platform_fuzz.cpp
+++ b/tests/fuzz/platform_fuzz.cpp
@@ -62,7 +62,7 @@
   if (data[0] % 3 == 2) {
     try {
       membership::read_line(text, 0);
-    } catch (const told::BadField&) {}
+    } catch (const settings::BadField&) {}
   }
   return 0;
 }
--- a/tests/membership/board_test.cpp
+++ b/tests/membership/board_test.cpp
@@ -173,7 +173,7 @@
 }
 
 TEST(NoticeStory, AStartInUnixTimeIsTurnedIntoThisClock) {
-  const auto json = told::Json::parse(
+  const auto json = settings::Json::parse(
       R"({"rev":1,"pool":{"whole":true,"hosts":[{"host":"s","dial":"1.2.3.4:5","health":"left","born_ms":2000}]}})");
   const Notice notice = read_notice(json, 15'000);
   EXPECT_TRUE(notice.whole);
@@ -186,7 +186,7 @@
   const auto read = [](const char* text) -> std::string {
     try {
       read_line(text, 0);
-    } catch (const told::BadField& wrong) {
+    } catch (const settings::BadField& wrong) {
       return wrong.what();
     }
     return "";
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -210,7 +210,7 @@
     text.replace(text.find(from), from.size(), to);
     try {
       read_configuration(text);
-    } catch (const told::BadField& wrong) {
+    } catch (const settings::BadField& wrong) {
       return wrong.what();
     }
     return "";
