The story of two reloads asks for the new discovery before silence would bring it

Cause: with the line taken out that leaves the old watch (BoardClient::move_to, again("moved")) the story passed all the same, since the old watch fell silent and the next one went to the new address after 1.5 s.

Change: the new discovery has to be asked within 1.2 s.

--- a/tests/node/reload_test.cpp
+++ b/tests/node/reload_test.cpp
@@ -11,6 +11,7 @@
 constexpr const char* second_id = "bbbbbbbbbbbbbbbb";
 constexpr const char* third_id = "cccccccccccccccc";
 constexpr Time settle = 5'000;          // tenths of a millisecond; for what should not happen at once
+constexpr Time at_once = 12'000;        // below the silence after which a watch is replaced anyway
 constexpr Time drain_grace = 20'000;    // as the configuration says
 constexpr int unfinished_for_ms = 300;  // a file of which half is written
 constexpr const char* reloaded = "configuration read again";
@@ -116,6 +117,7 @@
   process->reload(drained(one.address()));
   std::this_thread::sleep_for(std::chrono::milliseconds(30));
   process->reload(configuration(settings, last_discovery.address(), host("s3", third.address()), 3));
+  ASSERT_TRUE(pump.until([&] { return !last_discovery.peers.empty(); }, at_once)) << "not only by silence";
   ASSERT_TRUE(watching(last_discovery, "watch 3\n"));
   Visitor visitor(*address);
   visitor.send(ask(1, first_id));
