Restart stories use the shared words of the platform; the list is not copied to compare

Cause: restart_test had configurations, hosts and held addresses of its own, the same as platform.h's.

Change: the stories use platform.h and platform_story.h; fixed_part takes all but the two fields.

--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -29,6 +29,15 @@
   return seed;
 }
 
+// All that a reload does not change, as text. The list may have megabytes and is not copied.
+std::string fixed_part(const settings::Json& json) {
+  settings::Json fixed;
+  for (const auto& [name, value] : json.items()) {
+    if (name != "board" && name != "known") fixed[name] = value;
+  }
+  return fixed.dump(-1, ' ', false, settings::Json::error_handler_t::replace);
+}
+
 }  // namespace
 
 Configuration read_configuration(const std::string& text) {
@@ -54,10 +63,7 @@
   }
   read.board = address(fields, "board");
   read.known = fields.need("known");
-  settings::Json fixed = json;
-  fixed.erase("board");
-  fixed.erase("known");
-  read.fixed = fixed.dump(-1, ' ', false, settings::Json::error_handler_t::replace);
+  read.fixed = fixed_part(json);
   return read;
 }
 
--- a/tests/node/restart_test.cpp
+++ b/tests/node/restart_test.cpp
@@ -8,8 +8,7 @@
 #include <iostream>
 
 #include "crowd.h"
-#include "fastcgi/records.h"
-#include "loopback.h"
+#include "platform_story.h"
 #include "process.h"
 
 namespace rushhill::node {
@@ -27,56 +26,31 @@
 constexpr double slower = 1;
 #endif
 
-std::string host(std::size_t number, const std::string& at) {
+std::string numbered_host(std::size_t number, const std::string& at) {
   const std::string digits = std::to_string(number);
-  return R"({"host":"s-)" + std::string(8 - digits.size(), '0') + digits + R"(","dial":")" + at +
-         R"(","site":"old","class":"std","block":0,"health":"active","share":1,"born_ms":0})";
-}
-std::string notice(int number, const std::string& hosts) {
-  return R"({"rev":)" + std::to_string(number) + R"(,"pool":{"seq":)" + std::to_string(number) +
-         R"(,"whole":true,"hosts":[)" + hosts + "]}}";
+  return host("s-" + std::string(8 - digits.size(), '0') + digits, at);
 }
 std::string largest_list(const std::string& at) {
-  std::string hosts = host(0, at);
-  for (std::size_t i = 1; hosts.size() + hosts.size() / i + 200 < most_list; ++i) hosts += "," + host(i, at);
+  std::string hosts = numbered_host(0, at);
+  for (std::size_t i = 1; hosts.size() + hosts.size() / i + 200 < most_list; ++i)
+    hosts += "," + numbered_host(i, at);
   return hosts;
 }
-std::string configuration(const std::string& listen, const std::string& board, const std::string& hosts,
-                          const std::string& peers) {
-  return R"({"name":"n0","listen":")" + listen +
-         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":256},"board":")" +
-         board + R"(","peer_listen":")" + peers + R"(","peers":[")" + peers +
-         R"("],"known":{"rev":1,"notices":[)" + notice(1, hosts) +
-         R"(]},"settings":{"me":0,"balancers":1,"zone":"old","quantum":4000000,
-  "services":[{"name":"date-lookup","promise":1000000000,"deadline":2500000000,"effect":"free","worth":1.0}],"tenants":[],
-  "obligations":{"drain-grace":2000000000,"fall":1500000000,"fall-multiple":2.0,"cold":16000000000,"cold-share":0.5},
-  "permissions":{"cancel":true,"send-cap":5,"open-cap":20000,"peers":true,"multiplex":100,"conn-idle":15000000000,
-    "connect-timeout":250000000},
-  "family-info":{"marks-cold":true,"keep":10000000000,"not-loaded":"load"}}})";
-}
-std::string ask(const std::string& id) {
-  return fastcgi::write_request(1, {.params = {{"SCRIPT_NAME", "/ops/date-lookup"},
-                                               {"HTTP_X_JOB_ID", id},
-                                               {"HTTP_X_ALLOW_MS", "2500"},
-                                               {"HTTP_X_ITEM", "7f3a9c21e0b4d655"},
-                                               {"HTTP_X_FACTS", "memory_mb:512;lanes:2;load_ms:300"},
-                                               {"CONTENT_LENGTH", "3"}},
-                                    .body = "ask",
-                                    .keep = true});
+std::string router_configuration(const std::string& listen, const std::string& discovery,
+                                 const std::string& hosts, const std::string& peers) {
+  return configuration({.promise = "1000000000",
+                        .cancel = "true",
+                        .connect_timeout = "250000000",
+                        .sockets = "256",
+                        .listen = listen,
+                        .peer_listen = peers,
+                        .peers = "\"" + peers + "\""},
+                       discovery, hosts);
 }
-const std::string alive = fastcgi::write_request(1, {.params = {{"SCRIPT_NAME", "/alive"}}, .keep = true});
+std::string request(const std::string& id) { return ask(1, id); }
+const std::string alive = get(1, "/alive");
 constexpr const char* held_id = "cccccccccccccccc";  // a request that gets no answer yet
 
-// An address that nobody else on the machine is given while the story lasts, for clients and for datagrams.
-class Held {
- public:
-  explicit Held(transport::Loop& reactor) : place_(reactor.hold(transport::numeric_address("127.0.0.1:0"))) {}
-  std::string address() const { return place_->address().toString(); }
-
- private:
-  std::unique_ptr<transport::Place> place_;
-};
-
 class RestartStory : public testing::Test {
  protected:
   RestartStory() {
@@ -102,8 +76,10 @@
     return std::make_unique<Process>(
         Launch{.arguments = {"node"}, .environment = {{"PROXY_CONFIG", paths.back()}}});
   }
-  std::unique_ptr<Process> start() { return start(configuration(listen, board->address(), hosts(), peers)); }
-  std::string hosts() const { return host(0, server.address()); }
+  std::unique_ptr<Process> start() {
+    return start(router_configuration(listen, board->address(), hosts(), peers));
+  }
+  std::string hosts() const { return numbered_host(0, server.address()); }
 
   // What is measured of one start, in seconds.
   struct Start {
@@ -139,7 +115,7 @@
     std::vector<Asker> ready, decided;
     for (std::size_t i = 0; i < at.size(); ++i) {
       ready.emplace_back(at[i], alive);
-      decided.emplace_back(at[i], ask("aaaaaaaaaaaaa" + std::to_string(100 + i)));
+      decided.emplace_back(at[i], request("aaaaaaaaaaaaa" + std::to_string(100 + i)));
     }
     pump.until(
         [&] {
@@ -176,19 +152,19 @@
   transport::Loop reactor;
   Pump pump{reactor};
   RawServer server{reactor};
-  const Held place{reactor}, board_place{reactor};
-  std::unique_ptr<RawServer> board = std::make_unique<RawServer>(reactor, board_place.address());
+  const HeldAddress place{reactor}, board_place{reactor};
+  std::unique_ptr<RawServer> board = std::make_unique<RawServer>(reactor, board_place.text());
   // Bound as a router binds it, which then hears in its stead.
   const std::unique_ptr<transport::Place> peer_place =
       reactor.hear(transport::numeric_address("127.0.0.1:0"), [](const auto&, std::string_view) {});
-  const std::string listen = place.address(), peers = peer_place->address().toString();
+  const std::string listen = place.text(), peers = peer_place->address().toString();
   std::vector<std::string> paths;
   Time begun = 0;
   bool counted = false;
 };
 
 TEST_F(RestartStory, WhileDiscoveryRefuses) {
-  const std::string text = configuration(listen, board->address(), hosts(), peers);
+  const std::string text = router_configuration(listen, board->address(), hosts(), peers);
   board.reset();
   const auto program = start(text);
   expect_soon(measure({listen}));
@@ -215,7 +191,7 @@
   getsockname(full, reinterpret_cast<sockaddr*>(&at), &size);
   const std::string address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
   const Caller fills(transport::numeric_address(address));
-  const auto program = start(configuration(listen, address, hosts(), peers));
+  const auto program = start(router_configuration(listen, address, hosts(), peers));
   expect_soon(measure({listen}));
   ::close(full);
 }
@@ -223,30 +199,32 @@
 // Nobody is there any more where the configuration's server was: only the list, which is one line, leads to
 // servers that answer.
 TEST_F(RestartStory, WhileDiscoverySendsTheLargestList) {
-  const Held nobody(reactor);
-  const std::string gone = nobody.address();
-  const std::string list = notice(2, largest_list(server.address())) + "\n";
+  const HeldAddress nobody(reactor);
+  const std::string gone = nobody.text();
+  const std::string list = whole_list(2, largest_list(server.address()));
   board->on_bytes = [&](RawPeer& peer) {
     if (peer.seen == "watch 1\n") peer.stream->write(list);
   };
-  const auto program = start(configuration(listen, board->address(), host(0, gone), peers));
+  const auto program = start(router_configuration(listen, board->address(), numbered_host(0, gone), peers));
   ASSERT_TRUE(pump.until([&] { return !board->peers.empty() && !board->peers[0]->seen.empty(); }));
   expect_soon(measure({listen}));
   EXPECT_EQ(board->peers.size(), 1U) << "it was taken the first time";
 }
 
 TEST_F(RestartStory, WithAConfigurationOfTheLargestSize) {
-  const auto program = start(configuration(listen, board->address(), largest_list(server.address()), peers));
+  const auto program =
+      start(router_configuration(listen, board->address(), largest_list(server.address()), peers));
   expect_soon(measure({listen}));
 }
 
 TEST_F(RestartStory, WhileItsEarlierSelfStillEndsAtTheSameAddresses) {
   RawServer old_server(reactor);
   old_server.on_bytes = [](RawPeer& peer) { answer(peer); };
-  const auto old = start(configuration(listen, board->address(), host(0, old_server.address()), peers));
+  const auto old =
+      start(router_configuration(listen, board->address(), numbered_host(0, old_server.address()), peers));
   measure({listen});
   Caller waits{transport::Address(listen)};
-  waits.send(ask(held_id));
+  waits.send(request(held_id));
   ASSERT_TRUE(pump.until([&] {
     return std::ranges::any_of(old_server.peers, [](const auto& p) { return p->seen.empty() && !p->ended; });
   }));
@@ -263,7 +241,7 @@
   EXPECT_TRUE(pump.until(
       [&] {
         callers.push_back(std::make_unique<Caller>(transport::Address(listen)));
-        callers.back()->send(ask("aaaaaaaaaaaaa" + std::to_string(100 + ++asked)));
+        callers.back()->send(request("aaaaaaaaaaaaa" + std::to_string(100 + ++asked)));
         pump.pass(50);
         return server.peers.size() > before;
       },
@@ -280,17 +258,17 @@
 
 TEST_F(RestartStory, ThirtyTogether) {
   std::vector<std::string> at;
-  std::vector<Held> held;
+  std::vector<HeldAddress> held;
   std::vector<std::unique_ptr<transport::Place>> peer_places;
   std::vector<std::unique_ptr<Process>> programs;
   for (std::size_t i = 0; i < together; ++i) {
-    at.push_back(held.emplace_back(reactor).address());
+    at.push_back(held.emplace_back(reactor).text());
     peer_places.push_back(
         reactor.hear(transport::numeric_address("127.0.0.1:0"), [](const auto&, std::string_view) {}));
   }
   for (std::size_t i = 0; i < together; ++i)
     programs.push_back(
-        start(configuration(at[i], board->address(), hosts(), peer_places[i]->address().toString())));
+        start(router_configuration(at[i], board->address(), hosts(), peer_places[i]->address().toString())));
   expect_soon(measure(at));
 }
 
