--- a/tests/node/kill_test.cpp
+++ b/tests/node/kill_test.cpp
@@ -62,7 +62,26 @@
   int answered_at_server = 0;
 };
 
-class AtEachInstant : public KillStory, public testing::WithParamInterface<Instant> {};
+class AtEachInstant : public KillStory, public testing::WithParamInterface<Instant> {
+ protected:
+  using Clients = std::vector<std::unique_ptr<Caller>>;
+  // Stops the process; what comes then stands in its queue, each with its part of a request.
+  Clients fill_queue(const NodeProcess& process) const {
+    process.signal(SIGSTOP);
+    Clients clients;
+    for (int i = 0; i < in_queue; ++i) {
+      clients.push_back(caller());
+      clients.back()->send(part(ask(1, id_of(i)), GetParam()));
+    }
+    return clients;
+  }
+  static void send_rest(const Clients& clients) {
+    for (int i = 0; i < in_queue; ++i) {
+      const std::string request = ask(1, id_of(i));
+      clients[static_cast<std::size_t>(i)]->send(request.substr(part(request, GetParam()).size()));
+    }
+  }
+};
 INSTANTIATE_TEST_SUITE_P(Instants, AtEachInstant,
                          testing::Values(Instant::before, Instant::within, Instant::after),
                          testing::PrintToStringParamName());
@@ -110,20 +129,12 @@
 
 TEST_P(AtEachInstant, ToldToEndItAnswersWhatIsInItsQueue) {
   auto process = start();
-  process->signal(SIGSTOP);
-  std::vector<std::unique_ptr<Caller>> clients;
-  for (int i = 0; i < in_queue; ++i) {
-    clients.push_back(caller());
-    clients.back()->send(part(ask(1, id_of(i)), GetParam()));
-  }
+  const auto clients = fill_queue(*process);
   process->signal(SIGTERM);
   process->signal(SIGCONT);
   ASSERT_TRUE(process->says("winding up"));
   pump.pass(still_coming);
-  for (int i = 0; i < in_queue; ++i) {
-    const std::string request = ask(1, id_of(i));
-    clients[static_cast<std::size_t>(i)]->send(request.substr(part(request, GetParam()).size()));
-  }
+  send_rest(clients);
   for (const auto& client : clients) EXPECT_TRUE(answered(*client)) << client->seen();
   EXPECT_TRUE(process->says("ended"));
   EXPECT_TRUE(process->ended_well());
@@ -133,12 +144,7 @@
 
 TEST_P(AtEachInstant, KilledWithConnectionsInItsQueueNothingOfThemRuns) {
   auto process = start();
-  process->signal(SIGSTOP);
-  std::vector<std::unique_ptr<Caller>> clients;
-  for (int i = 0; i < in_queue; ++i) {
-    clients.push_back(caller());
-    clients.back()->send(part(ask(1, id_of(i)), GetParam()));
-  }
+  const auto clients = fill_queue(*process);
   process->signal(SIGKILL);
   process->wait();
   for (const auto& client : clients) EXPECT_TRUE(pump.until([&] { return client->closed(); }));
@@ -153,20 +159,12 @@
 // The new process listens at the address already while the old one still has connections in its queue.
 TEST_P(AtEachInstant, ToldToEndBesideItsSuccessorItAnswersWhatIsInItsQueue) {
   auto process = start();
-  process->signal(SIGSTOP);
-  std::vector<std::unique_ptr<Caller>> clients;
-  for (int i = 0; i < in_queue; ++i) {
-    clients.push_back(caller());
-    clients.back()->send(part(ask(1, id_of(i)), GetParam()));
-  }
+  const auto clients = fill_queue(*process);
   const auto successor = start();
   process->signal(SIGTERM);
   process->signal(SIGCONT);
   ASSERT_TRUE(process->says("winding up"));
-  for (int i = 0; i < in_queue; ++i) {
-    const std::string request = ask(1, id_of(i));
-    clients[static_cast<std::size_t>(i)]->send(request.substr(part(request, GetParam()).size()));
-  }
+  send_rest(clients);
   for (const auto& client : clients) EXPECT_TRUE(answered(*client)) << client->seen();
   EXPECT_TRUE(process->says("ended"));
   EXPECT_TRUE(process->ended_well());
