HTTP frontend: keep an idle connection on which a request has just arrived

A request sent on an idle connection 0.72 s after SIGTERM was closed without an answer.

Cause: the timer that closes an idle connection looked at what had been read only. What arrives between the poll and the timers of one iteration, 50 ms and more on a slow machine, stands unread then and is dropped with the connection.

Change: the timer asks the system for unread bytes first, as the start of the drain and the eviction do. The next iteration reads the request, and its answer closes the connection.

--- a/src/frontends/http_connection.cpp
+++ b/src/frontends/http_connection.cpp
@@ -39,9 +39,7 @@
 }
 
 void HttpFront::Connection::start_draining() {
-  if (answering_ || closing_ || partial_ || !input_.empty()) return;
-  if (stream_->peek() == Stream::Peeked::bytes) return;
-  set_timer(last_request_within);
+  if (is_idle() && stream_->peek() != Stream::Peeked::bytes) set_timer(last_request_within);
 }
 
 std::optional<EvictionRank> HttpFront::Connection::eviction_rank(Time now) const {
@@ -52,6 +50,9 @@
                                    .partial_since = partial_ ? std::optional(since_) : std::nullopt},
                                   now);
 }
+bool HttpFront::Connection::is_idle() const {
+  return !answering_ && !closing_ && !partial_ && input_.empty();
+}
 bool HttpFront::Connection::has_no_unread_input() const {
   return (partial_ || input_.empty()) && !has_unread_input();
 }
@@ -84,6 +85,9 @@
   timer_ = reactor_.at(reactor_.now() + span, [this] { on_timer(); });
 }
 void HttpFront::Connection::on_timer() {
+  // A request that has arrived since the poll is read in the next iteration, which sets another timer.
+  const bool awaits_request = is_idle() && stream_->pending_bytes() == 0;
+  if (awaits_request && stream_->peek() == Stream::Peeked::bytes) return set_timer(last_request_within);
   if (closing_ || !partial_ || stream_->pending_bytes() > 0)
     return front_.connections_.remove(*this, ConnectionEnd::by_gateway);
   answer_and_close(to_response(
--- a/src/frontends/http_connection.h
+++ b/src/frontends/http_connection.h
@@ -47,6 +47,8 @@
   void on_closed(transport::CloseReason reason) override;
 
  private:
+  // Whether no part of a request has been read that is not answered yet.
+  bool is_idle() const;
   void set_timer(Time span);
   void on_timer();
   // Reads on in what has come, up to the end of one request.
--- a/tests/frontends/http_front_test.cpp
+++ b/tests/frontends/http_front_test.cpp
@@ -442,6 +442,23 @@
   EXPECT_TRUE(pump.until([&] { return over; }, 10'000));
 }
 
+// Guards against a request that is dropped unread because it arrives between a poll and the timer that closes
+// its idle connection, in an iteration of the loop that takes long.
+TEST_F(StandingStory, ARequestThatArrivesWhileItsIdleConnectionIsAboutToCloseIsAnswered) {
+  // After the stop. The timer that closes the connection is due after the other two, during the stall.
+  constexpr Time stall_start = 5'000;
+  constexpr Time send_due = 6'000;
+  constexpr std::chrono::milliseconds stall{400};
+  TestClient visitor(router.address());
+  visitor.send(request("first"));
+  ASSERT_TRUE(pump.until([&] { return count(visitor.read()) == 1; }));
+  told_to_end();
+  const Time stopped = reactor.now();
+  reactor.at(stopped + stall_start, [&] { std::this_thread::sleep_for(stall); });
+  reactor.at(stopped + send_due, [&] { visitor.send(request("second")); });
+  expect_answered(visitor, 2);
+}
+
 TEST_F(StandingStory, AnIdleConnectionWithoutAFurtherRequestHoldsNobodyUp) {
   TestClient visitor(router.address());
   visitor.send(request("first"));
