Core: deliver final answers ahead of other posted calls

Cause, one of two: an answer that is decided when the timer of the deadline fires was delivered by a posted call, behind all others of the iteration. A trace: decided at 4,864 ms, delivered at 5,033 ms behind 70 calls; decided at 4,853, delivered at 5,121 behind 138 (limit 5,000).

Change: the loop has a queue of urgent calls, run before the posted ones and after each of them, and final answers go there.

Evidence: the new test of the request lifecycle failed before.

--- a/src/core/deferred_calls.h
+++ b/src/core/deferred_calls.h
@@ -14,6 +14,8 @@
   explicit DeferredCalls(TimerService& clock) : clock_(clock) {}
 
   void run_soon(TimerService::Call call) { clock_.post(guarded(std::move(call))); }
+  // Ahead of the calls of run_soon() that are waiting.
+  void run_urgently(TimerService::Call call) { clock_.post_urgent(guarded(std::move(call))); }
   void run_at(Timestamp when, TimerService::Call call) {
     clock_.at(to_ticks(when), guarded(std::move(call)));
   }
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -200,10 +200,11 @@
                   {"ms", std::to_string(elapsed.count())}});
 }
 
-// Delivers the answer to the client after the current call has returned.
+// Delivers the answer to the client after the current call has returned, ahead of other work: the deadline
+// may be near.
 void RequestLifecycle::answer_soon(RequestId id, std::function<void(Client&)> answer) {
   ++env_.requests.at(id).deferred_calls;
-  env_.deferred.run_soon([this, id, answer = std::move(answer)] {
+  env_.deferred.run_urgently([this, id, answer = std::move(answer)] {
     Request& request = env_.requests.at(id);
     --request.deferred_calls;
     Client* client = std::exchange(request.client, nullptr);
--- a/src/core/timer_service.h
+++ b/src/core/timer_service.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <utility>
 
 #include "routing/time.h"
 
@@ -41,6 +42,8 @@
   virtual void cancel(Timer& timer) = 0;
   // Runs the call after the current call has returned.
   virtual void post(Call call) = 0;
+  // The same, ahead of the calls of post() that are waiting.
+  virtual void post_urgent(Call call) { post(std::move(call)); }
   // A clock reading in nanoseconds, for measuring elapsed real time only; always 0 if there is no such clock.
   virtual std::int64_t nanoseconds() const { return 0; }
 };
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -59,6 +59,7 @@
 void Loop::drop_pending_calls() {
   const auto timers = std::exchange(timers_, {});
   const auto posted = std::exchange(posted_, {});
+  const auto urgent = std::exchange(urgent_, {});
   unregistered_.clear();
   deferred_streams_.clear();
   iteration_hook_ = nullptr;
@@ -71,6 +72,7 @@
 core::Timer Loop::at(Time when, Call call) { return timers_.add(when, std::move(call)); }
 void Loop::cancel(core::Timer& timer) { timers_.cancel(timer); }
 void Loop::post(Call call) { posted_.push_back(std::move(call)); }
+void Loop::post_urgent(Call call) { urgent_.push_back(std::move(call)); }
 
 // Returns everything that is readable or writable. Polls again if the process slept or was suspended, because
 // data that arrived meanwhile may not have been reported.
@@ -142,13 +144,22 @@
   // What became due since the poll waits for the next one: an answer that came in time may lie unread until
   // then.
   timers_.fire_due(polled_at_ns_ / nanoseconds_per_time_unit);
+  run_urgent_calls();
   // Calls that these post run in the next iteration, so that a chain of them cannot starve the sockets.
-  for (const Call& call : std::exchange(posted_, {})) call();
+  for (const Call& call : std::exchange(posted_, {})) {
+    call();
+    run_urgent_calls();
+  }
+}
+
+// Urgent calls that these post run after the next posted call, or in the next iteration.
+void Loop::run_urgent_calls() {
+  for (const Call& call : std::exchange(urgent_, {})) call();
 }
 
 // Returns how long the loop may sleep. Rounds up, so that it does not wake before a timer is due and spin.
 int Loop::sleep_ms() const {
-  if (!posted_.empty() || !deferred_streams_.empty()) return 0;
+  if (!posted_.empty() || !urgent_.empty() || !deferred_streams_.empty()) return 0;
   const Time start = now();
   const Time latest = start + max_sleep;
   const Time wake = std::min(timers_.next_deadline().value_or(latest), latest);
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -4,9 +4,9 @@
 // Each iteration reads before it acts. It first reads the connections that peers opened until nothing is left
 // to read, so that a client's disconnect is known before work is started for that client. It then serves
 // listeners, datagram sockets and the connections that we opened, then timers that were due when it polled,
-// then posted calls. So no timeout fires before an answer that arrived in time has been read. Nothing is sent
-// on a connection that we opened while those that peers opened are being read, or if the last poll is too
-// long ago. Bytes that wait for this reason can still be cancelled.
+// then posted calls, urgent ones first. So no timeout fires before an answer that arrived in time has been
+// read. Nothing is sent on a connection that we opened while those that peers opened are being read, or if
+// the last poll is too long ago. Bytes that wait for this reason can still be cancelled.
 #pragma once
 
 #include <atomic>
@@ -43,6 +43,7 @@
   core::Timer at(Time when, Call call) override;
   void cancel(core::Timer& timer) override;
   void post(Call call) override;
+  void post_urgent(Call call) override;
   std::int64_t nanoseconds() const override { return monotonic_ns(); }
   std::int64_t clock_ns() const override { return monotonic_ns(); }
   std::int64_t unix_ns() const override { return system_.unix_ns(); }
@@ -95,6 +96,7 @@
   EventSource* find_source(RegistrationId id, bool opened_by_peer) const;
   void send_deferred();
   void run_calls();
+  void run_urgent_calls();
   int sleep_ms() const;
   bool register_source(int descriptor, EventSource& source);
   void schedule_registration(int descriptor, const EventSource& source);
@@ -105,6 +107,7 @@
   Poller poller_;
   core::TimerQueue timers_;
   std::vector<Call> posted_;
+  std::vector<Call> urgent_;
   std::vector<char> buffer_;
   Call iteration_hook_;
   RegistrationId last_registration_ = 0;
--- a/tests/core/manual_clock.h
+++ b/tests/core/manual_clock.h
@@ -16,9 +16,11 @@
   Timer at(Time when, Call call) override { return timers_.add(when, std::move(call)); }
   void cancel(Timer& timer) override { timers_.cancel(timer); }
   void post(Call call) override { posted_.push_back(std::move(call)); }
-  // Runs all posted calls, including those that they post.
+  void post_urgent(Call call) override { urgent_.push_back(std::move(call)); }
+  // Runs all posted calls, urgent ones first, including those that they post.
   void run_posted_calls() {
-    while (!posted_.empty()) {
+    while (!posted_.empty() || !urgent_.empty()) {
+      for (const Call& call : std::exchange(urgent_, {})) call();
       for (const Call& call : std::exchange(posted_, {})) call();
     }
   }
@@ -42,6 +44,7 @@
   Time now_ = 100 * 10'000;
   TimerQueue timers_;
   std::vector<Call> posted_;
+  std::vector<Call> urgent_;
 };
 
 }  // namespace rushhill::core
--- a/tests/core/request_lifecycle_test.cpp
+++ b/tests/core/request_lifecycle_test.cpp
@@ -61,6 +61,20 @@
                              advised_retry_after};
 };
 
+// Guards against final answers that are decided in time but delivered late, behind other work.
+TEST_F(RequestLifecycleTest, DeliversFinalAnswersAheadOfWhatWasPostedBefore) {
+  const RequestId rejected = accept();
+  const RequestId failed = accept();
+  attempts.start(failed, "a", to_duration(second / 2));
+  Answers answers_before_other_work;
+  clock.post([&] { answers_before_other_work = client.answers; });
+  lifecycle.reject(rejected, Duration::zero());
+  lifecycle.fail(failed);
+  EXPECT_TRUE(client.answers.empty());
+  clock.run_posted_calls();
+  EXPECT_EQ(answers_before_other_work, (Answers{"rejected", "failed"}));
+}
+
 TEST_F(RequestLifecycleTest, AnswersASuccessfulRequestOnceAndReleasesItsState) {
   const RequestId id = accept();
   ASSERT_EQ(policy_events.requests.size(), 1U);
--- a/tests/transport/loop_test.cpp
+++ b/tests/transport/loop_test.cpp
@@ -89,6 +89,25 @@
   EXPECT_EQ(order, "oa");
 }
 
+// What is posted by a call runs in the next iteration, but urgent calls run after the call that posts them.
+TEST(EventLoopIteration, RunsUrgentCallsBeforeOthersThatArePosted) {
+  Loop reactor;
+  EventLoopDriver pump(reactor);
+  std::string order;
+  reactor.at(reactor.now(), [&] {
+    for (const char name : {'a', 'b'}) {
+      reactor.post([&, name] {
+        order += name;
+        reactor.post([&] { order += 'n'; });
+        reactor.post_urgent([&] { order += 'U'; });
+      });
+    }
+    reactor.post_urgent([&] { order += 'F'; });
+  });
+  ASSERT_TRUE(pump.until([&] { return order.size() == 7; }));
+  EXPECT_EQ(order, "FaUbUnn");
+}
+
 // Guards against simulated clients that are late to send: after a long iteration what they write waits for
 // the next poll, which is meant for a router, whose clients may have left meanwhile.
 TEST(EventLoopIteration, SendsAtOnceAfterALongIterationIfItNeedNotReadPeersBefore) {
