Event loop: run urgent calls after each timer too

Cause: urgent calls, such as final answers, ran once all due timers had fired.

Change: they run after each timer.

Evidence: the loop's test of the order, extended, failed before ("Ft..." expected).

--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -29,10 +29,14 @@
   }
   // Fires all timers that are due at `now`, including due timers that are added by the calls.
   void fire_due(Time now) {
-    while (!timers_.empty() && timers_.begin()->first.at <= now) {
-      const auto call = std::move(timers_.extract(timers_.begin()).mapped());
-      call();
-    }
+    while (fire_next_due(now)) {}
+  }
+  // Fires the earliest timer if it is due at `now`. Returns whether it was.
+  bool fire_next_due(Time now) {
+    if (timers_.empty() || timers_.begin()->first.at > now) return false;
+    const auto call = std::move(timers_.extract(timers_.begin()).mapped());
+    call();
+    return true;
   }
   std::size_t count() const { return timers_.size(); }
 
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -143,7 +143,8 @@
   if (iteration_hook_) iteration_hook_();
   // What became due since the poll waits for the next one: an answer that came in time may lie unread until
   // then.
-  timers_.fire_due(polled_at_ns_ / nanoseconds_per_time_unit);
+  const Time due = polled_at_ns_ / nanoseconds_per_time_unit;
+  while (timers_.fire_next_due(due)) run_urgent_calls();
   run_urgent_calls();
   // Calls that these post run in the next iteration, so that a chain of them cannot starve the sockets.
   for (const Call& call : std::exchange(posted_, {})) {
@@ -152,7 +153,7 @@
   }
 }
 
-// Urgent calls that these post run after the next posted call, or in the next iteration.
+// Urgent calls that these post run after the next timer or posted call, or in the next iteration.
 void Loop::run_urgent_calls() {
   for (const Call& call : std::exchange(urgent_, {})) call();
 }
--- a/tests/transport/loop_test.cpp
+++ b/tests/transport/loop_test.cpp
@@ -89,7 +89,8 @@
   EXPECT_EQ(order, "oa");
 }
 
-// What is posted by a call runs in the next iteration, but urgent calls run after the call that posts them.
+// What is posted by a call runs in the next iteration, but urgent calls run after the call that posts them,
+// before the next timer too.
 TEST(EventLoopIteration, RunsUrgentCallsBeforeOthersThatArePosted) {
   Loop reactor;
   EventLoopDriver pump(reactor);
@@ -104,8 +105,9 @@
     }
     reactor.post_urgent([&] { order += 'F'; });
   });
-  ASSERT_TRUE(pump.until([&] { return order.size() == 7; }));
-  EXPECT_EQ(order, "FaUbUnn");
+  reactor.at(reactor.now(), [&] { order += 't'; });
+  ASSERT_TRUE(pump.until([&] { return order.size() == 8; }));
+  EXPECT_EQ(order, "FtaUbUnn");
 }
 
 // Guards against simulated clients that are late to send: after a long iteration what they write waits for
