HTTP frontend: while draining, keep idle connections as long as requests come

A request crossed the close of its idle connection 0.7 s after SIGTERM.

Cause: all idle connections were closed at once then, whatever came on the others. A client uses its connections one after the other, and learns of the drain from the answer on each.

Change: they stay open until no request has come for 0.7 s, and for 2 s at most. A request that comes late has no more time than until the process may be killed (3.7 s after SIGTERM) or ends.

Evidence: two new tests failed before.

--- a/src/frontends/http_connection.cpp
+++ b/src/frontends/http_connection.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t read_ahead = std::size_t{64} * 1024;
 // Time-outs, in tenths of a millisecond.
 constexpr Time close_within = 10'000;  // for a client to read the last answer and close
-// On an idle or new connection, once the front is draining: its client may be about to send.
-constexpr Time last_request_within = 7'000;
+constexpr Time unread_request_within =
+    7'000;  // for a request that has arrived on an idle connection to be read
 
 }  // namespace
 
@@ -39,7 +39,7 @@
 }
 
 void HttpFront::Connection::start_draining() {
-  if (is_idle() && stream_->peek() != Stream::Peeked::bytes) set_timer(last_request_within);
+  if (is_idle() && stream_->peek() != Stream::Peeked::bytes) set_drain_timer();
 }
 
 std::optional<EvictionRank> HttpFront::Connection::eviction_rank(Time now) const {
@@ -84,10 +84,15 @@
   reactor_.cancel(timer_);
   timer_ = reactor_.at(reactor_.now() + span, [this] { on_timer(); });
 }
+void HttpFront::Connection::set_drain_timer() {
+  set_timer(front_.drain_window_.idle_close_at() - reactor_.now());
+}
 void HttpFront::Connection::on_timer() {
   // A request that has arrived since the poll is read in the next iteration, which sets another timer.
   const bool awaits_request = is_idle() && stream_->pending_bytes() == 0;
-  if (awaits_request && stream_->peek() == Stream::Peeked::bytes) return set_timer(last_request_within);
+  if (awaits_request && stream_->peek() == Stream::Peeked::bytes) return set_timer(unread_request_within);
+  const bool more_likely = front_.draining_ && reactor_.now() < front_.drain_window_.idle_close_at();
+  if (awaits_request && more_likely) return set_drain_timer();
   if (closing_ || !partial_ || stream_->pending_bytes() > 0)
     return front_.connections_.remove(*this, ConnectionEnd::by_gateway);
   answer_and_close(to_response(
@@ -133,6 +138,7 @@
   request_seen_ = true;
   answering_ = true;
   requests_.taken();
+  if (front_.draining_) front_.drain_window_.request_arrived(reactor_.now());
   const transport::HttpRequest request = reader_.take();
   keep_alive_ = request.keep_alive;
   exchange_.start(request);
--- a/src/frontends/http_connection.h
+++ b/src/frontends/http_connection.h
@@ -50,6 +50,8 @@
   // Whether no part of a request has been read that is not answered yet.
   bool is_idle() const;
   void set_timer(Time span);
+  // For an idle connection of a front that drains.
+  void set_drain_timer();
   void on_timer();
   // Reads on in what has come, up to the end of one request.
   void read_input();
--- a/src/frontends/http_exchange.cpp
+++ b/src/frontends/http_exchange.cpp
@@ -107,7 +107,8 @@
 
 std::optional<RequestId> HttpFront::Exchange::accept(events::CloudEvent message) {
   RoutingRequest request = front_.intake_.read(message);
-  const Time time_left = to_ticks(request.time_left) - connection_.request_age();
+  Time time_left = to_ticks(request.time_left) - connection_.request_age();
+  if (front_.draining_) time_left = std::min(time_left, front_.drain_time_left());
   request.time_left = to_duration(std::max<Time>(time_left, 1));
   return front_.gateway_.accept(front_.source_, *this, std::move(request), std::move(message));
 }
--- a/src/frontends/http_front.cpp
+++ b/src/frontends/http_front.cpp
@@ -9,7 +9,7 @@
 HttpFront::HttpFront(transport::Reactor& reactor, core::Gateway& gateway, const core::RequestReader& intake,
                      core::EventLog& log, const HttpRules& rules)
     : reactor_(reactor), gateway_(gateway), intake_(intake), rules_(rules),
-      source_(gateway.add_source(rules.weight)),
+      source_(gateway.add_source(rules.weight)), drain_window_(rules.drain_timeout),
       connections_(reactor, log, static_cast<std::size_t>(rules.connections)) {}
 HttpFront::~HttpFront() = default;
 
@@ -28,6 +28,7 @@
 
 void HttpFront::start_draining() {
   draining_ = true;
+  drain_window_.start(reactor_.now());
   connections_.stop_accepting();
   for (const auto& [connection, share] : connections_) connection->start_draining();
 }
--- a/src/frontends/http_front.h
+++ b/src/frontends/http_front.h
@@ -10,6 +10,7 @@
 #include "core/gateway.h"
 #include "core/request_reader.h"
 #include "frontends/connection_table.h"
+#include "frontends/drain_window.h"
 #include "frontends/request_accounting.h"
 #include "transport/http.h"
 
@@ -23,6 +24,7 @@
   Time request_within = 100'000;     // from a request's first byte to its last
   Time idle = 600'000;               // between requests
   double weight = 1;                 // beside other sources of events
+  Time drain_timeout = 50'000;       // from the start of the drain until the process ends
   Time retry_after = 0;              // where as many events are open as permitted; 0: no advice
 };
 
@@ -58,6 +60,8 @@
   class Connection;
   class Exchange;
   void accept(const transport::PendingConnection& pending);
+  // For a request that arrives while the front drains.
+  Time drain_time_left() const { return drain_window_.answer_by(reactor_.now()) - reactor_.now(); }
 
   transport::Reactor& reactor_;
   core::Gateway& gateway_;
@@ -67,6 +71,7 @@
   RequestCounts counts_;  // outlives the connections
   bool ready_ = false;
   bool draining_ = false;
+  DrainWindow drain_window_;
   std::function<std::string()> standing_;
   std::function<std::string()> more_metrics_;
   ConnectionTable<Connection> connections_;  // last: closes them with the rest still there
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -143,6 +143,7 @@
                  .request_within = configuration.http.head_within,
                  .idle = configuration.http.idle,
                  .weight = configuration.http.weight,
+                 .drain_timeout = configuration.http.drain_timeout,
                  .retry_after = configuration.routing.retries.retry_after
                                     ? to_ticks(configuration.routing.retries.max_retry_after)
                                     : 0}) {
--- a/tests/frontends/http_front_test.cpp
+++ b/tests/frontends/http_front_test.cpp
@@ -466,6 +466,44 @@
   expect_answered(visitor, 2);
 }
 
+// Guards against requests that are lost because they cross the close of their idle connection: a client with
+// several of them goes on using one after the other.
+TEST_F(StandingStory, IdleConnectionsStayOpenWhileRequestsComeOnOthers) {
+  TestClient first(router.address());
+  TestClient second(router.address());
+  for (TestClient* visitor : {&first, &second}) {
+    visitor->send(request("warm"));
+    ASSERT_TRUE(pump.until([&] { return count(visitor->read()) == 1; }));
+  }
+  told_to_end();
+  pump.pass(5'000);
+  first.send(request("on-the-first"));
+  expect_answered(first, 2);
+  pump.pass(4'000);
+  second.send(request("on-the-second"));
+  expect_answered(second, 2);
+}
+
+// Guards against a request that is open when the process has to end.
+TEST_F(StandingStory, ARequestThatComesLateInADrainHasNoMoreTimeThanTheRouter) {
+  constexpr int longest_ms = 3'700 - 1'000;  // from then until the process may be killed
+  TestClient first(router.address());
+  TestClient second(router.address());
+  told_to_end();
+  pump.pass(5'000);
+  first.send(request("on-the-first"));
+  expect_answered(first);
+  pump.pass(5'000);
+  std::string head_seen;
+  server.on_bytes = [&](RawPeer& peer) { head_seen = peer.seen; };
+  second.send(request("on-the-second"));
+  ASSERT_TRUE(pump.until([&] { return says(head_seen, "\r\n\r\n"); }));
+  const std::string field = "rushhill-time-left-ms: ";
+  const std::size_t at = head_seen.find(field);
+  ASSERT_NE(at, std::string::npos) << head_seen;
+  EXPECT_LE(std::stoi(head_seen.substr(at + field.size())), longest_ms);
+}
+
 TEST_F(StandingStory, AnIdleConnectionWithoutAFurtherRequestHoldsNobodyUp) {
   TestClient visitor(router.address());
   visitor.send(request("first"));
