--- a/tests/frontends/http_front_test.cpp
+++ b/tests/frontends/http_front_test.cpp
@@ -365,7 +365,7 @@
 
 // Told to end while requests stand in the system, where the loop has not read them yet: on a connection that
 // nobody has accepted, on one that is idle, and on one whose first request is about to come.
-class StandingStory : public FrontStory {
+class HttpDrainTest : public FrontStory {
  protected:
   struct TestClient {
     explicit TestClient(const transport::Address& to) : socket(to) {}
@@ -389,19 +389,19 @@
     EXPECT_TRUE(says(visitor.seen, "Connection: close")) << visitor.seen;
     EXPECT_TRUE(pump.until([&] { return visitor.read(), visitor.ended; }));
   }
-  void told_to_end() {
+  void start_draining() {
     router.start_draining([this] { over = true; });
   }
   bool over = false;
 };
 
-TEST_F(StandingStory, ARequestOnAConnectionInTheQueueIsAnswered) {
+TEST_F(HttpDrainTest, ARequestOnAConnectionInTheQueueIsAnswered) {
   std::vector<std::unique_ptr<TestClient>> visitors;
   for (int i = 0; i < 10; ++i) {
     visitors.push_back(std::make_unique<TestClient>(router.address()));
     visitors.back()->send(request("q" + std::to_string(i)));
   }
-  told_to_end();
+  start_draining();
   for (auto& visitor : visitors) {
     ASSERT_NO_FATAL_FAILURE(expect_answered(*visitor));
   }
@@ -409,27 +409,27 @@
   EXPECT_TRUE(pump.until([&] { return over; }));
 }
 
-TEST_F(StandingStory, ARequestThatStandsUnreadOnAnIdleConnectionIsAnswered) {
+TEST_F(HttpDrainTest, ARequestThatStandsUnreadOnAnIdleConnectionIsAnswered) {
   TestClient visitor(router.address());
   visitor.send(request("one"));
   ASSERT_TRUE(pump.until([&] { return count(visitor.read()) == 1; }));
   visitor.send(request("two"));
-  told_to_end();
+  start_draining();
   expect_answered(visitor, 2);
 }
 
-TEST_F(StandingStory, AConnectionThatHasJustComeHasAMomentForItsRequest) {
+TEST_F(HttpDrainTest, AConnectionThatHasJustComeHasAMomentForItsRequest) {
   TestClient visitor(router.address());
-  told_to_end();
+  start_draining();
   pump.pass(200);
   visitor.send(request("first"));
   expect_answered(visitor);
 }
 
 // Guards against a client that is left without an answer because it was slow between connecting and sending.
-TEST_F(StandingStory, AConnectionThatHasJustComeMaySendItsRequestHalfASecondLater) {
+TEST_F(HttpDrainTest, AConnectionThatHasJustComeMaySendItsRequestHalfASecondLater) {
   TestClient visitor(router.address());
-  told_to_end();
+  start_draining();
   pump.pass(5'000);
   visitor.send(request("first"));
   expect_answered(visitor);
@@ -437,11 +437,11 @@
 
 // Guards against a request that is read and dropped because its connection was idle when the router was told
 // to end.
-TEST_F(StandingStory, AnIdleConnectionMayBringARequestHalfASecondLater) {
+TEST_F(HttpDrainTest, AnIdleConnectionMayBringARequestHalfASecondLater) {
   TestClient visitor(router.address());
   visitor.send(request("first"));
   ASSERT_TRUE(pump.until([&] { return count(visitor.read()) == 1; }));
-  told_to_end();
+  start_draining();
   pump.pass(5'000);
   visitor.send(request("second"));
   expect_answered(visitor, 2);
@@ -451,7 +451,7 @@
 
 // Guards against a request that is dropped unread because it arrives between a poll and the timer that closes
 // its idle connection, in an iteration of the loop that takes long.
-TEST_F(StandingStory, ARequestThatArrivesWhileItsIdleConnectionIsAboutToCloseIsAnswered) {
+TEST_F(HttpDrainTest, ARequestThatArrivesWhileItsIdleConnectionIsAboutToCloseIsAnswered) {
   // After the stop. The timer that closes the connection is due after the other two, during the stall.
   constexpr Time stall_start = 5'000;
   constexpr Time send_due = 6'000;
@@ -459,7 +459,7 @@
   TestClient visitor(router.address());
   visitor.send(request("first"));
   ASSERT_TRUE(pump.until([&] { return count(visitor.read()) == 1; }));
-  told_to_end();
+  start_draining();
   const Time stopped = reactor.now();
   reactor.at(stopped + stall_start, [&] { std::this_thread::sleep_for(stall); });
   reactor.at(stopped + send_due, [&] { visitor.send(request("second")); });
@@ -468,14 +468,14 @@
 
 // Guards against requests that are lost because they cross the close of their idle connection: a client with
 // several of them goes on using one after the other.
-TEST_F(StandingStory, IdleConnectionsStayOpenWhileRequestsComeOnOthers) {
+TEST_F(HttpDrainTest, IdleConnectionsStayOpenWhileRequestsComeOnOthers) {
   TestClient first(router.address());
   TestClient second(router.address());
   for (TestClient* visitor : {&first, &second}) {
     visitor->send(request("warm"));
     ASSERT_TRUE(pump.until([&] { return count(visitor->read()) == 1; }));
   }
-  told_to_end();
+  start_draining();
   pump.pass(5'000);
   first.send(request("on-the-first"));
   expect_answered(first, 2);
@@ -485,11 +485,11 @@
 }
 
 // Guards against a request that is open when the process has to end.
-TEST_F(StandingStory, ARequestThatComesLateInADrainHasNoMoreTimeThanTheRouter) {
+TEST_F(HttpDrainTest, ARequestThatComesLateInADrainHasNoMoreTimeThanTheRouter) {
   constexpr int longest_ms = 3'700 - 1'000;  // from then until the process may be killed
   TestClient first(router.address());
   TestClient second(router.address());
-  told_to_end();
+  start_draining();
   pump.pass(5'000);
   first.send(request("on-the-first"));
   expect_answered(first);
@@ -504,19 +504,19 @@
   EXPECT_LE(std::stoi(head_seen.substr(at + field.size())), longest_ms);
 }
 
-TEST_F(StandingStory, AnIdleConnectionWithoutAFurtherRequestHoldsNobodyUp) {
+TEST_F(HttpDrainTest, AnIdleConnectionWithoutAFurtherRequestHoldsNobodyUp) {
   TestClient visitor(router.address());
   visitor.send(request("first"));
   ASSERT_TRUE(pump.until([&] { return count(visitor.read()) == 1; }));
-  told_to_end();
+  start_draining();
   EXPECT_TRUE(pump.until([&] { return visitor.read(), visitor.ended; }, 10'000));
   visitor.socket.close();
   EXPECT_TRUE(pump.until([&] { return over; }, 10'000));
 }
 
-TEST_F(StandingStory, AConnectionWithoutARequestHoldsNobodyUp) {
+TEST_F(HttpDrainTest, AConnectionWithoutARequestHoldsNobodyUp) {
   TestClient visitor(router.address());
-  told_to_end();
+  start_draining();
   EXPECT_TRUE(pump.until([&] { return visitor.read(), visitor.ended; }, 10'000));
   visitor.socket.close();
   EXPECT_TRUE(pump.until([&] { return over; }, 10'000));
