Routing: one late timer alone does not end requests before their deadline

Cause: took the longest lateness of the last 5 s for what is to come, after a single stop too, and ended the request in the second half of its time.

Change: the second-longest lateness counts, so that a single stop foretells nothing.

--- a/src/routing/periodic_maintenance.cpp
+++ b/src/routing/periodic_maintenance.cpp
@@ -88,7 +88,7 @@
 // Returns how long before a deadline this run may be the last one at which it can be kept, or zero if the
 // timers are so punctual that each request's own timer keeps it.
 Duration PeriodicMaintenance::deadline_reserve(Timestamp now) const {
-  const Duration lateness = lateness_factor * lateness_.longest(now);
+  const Duration lateness = lateness_factor * lateness_.repeated(now);
   if (lateness <= std::max(parts_.configuration.tick, period)) return Duration::zero();
   return lateness + period;
 }
--- a/src/routing/timer_lateness.h
+++ b/src/routing/timer_lateness.h
@@ -11,22 +11,25 @@
 
 namespace rushhill::routing {
 
-// Keeps the longest lateness of the recent past.
+// Keeps the lateness that was reached repeatedly in the recent past. A single late timer, as after a stop of
+// the process, foretells nothing.
 class TimerLateness {
  public:
   // Records a timer that fired at `now`, that much later than it was due.
-  void record(Timestamp now, Duration lateness) { longest_.bucket_at(now) += Longest{.span = lateness}; }
+  void record(Timestamp now, Duration lateness) { longest_.bucket_at(now) += Longest{.first = lateness}; }
 
-  // Returns the longest recorded lateness of the last few seconds, or zero if no timer was late.
-  Duration longest(Timestamp now) const { return longest_.total(now).span; }
+  // Returns the second-longest recorded lateness of the last few seconds, or zero if at most one was late.
+  Duration repeated(Timestamp now) const { return longest_.total(now).second; }
 
  private:
   static constexpr int window_buckets = 5;  // of one second
 
   struct Longest {
-    Duration span{};
+    Duration first{};
+    Duration second{};
     Longest& operator+=(const Longest& other) {
-      span = std::max(span, other.span);
+      second = std::max(std::min(first, other.first), std::max(second, other.second));
+      first = std::max(first, other.first);
       return *this;
     }
   };
