Review: case 1 with connections that come up late, in place of bad clients

Cause: the form with bad clients depended on the speed of the machine; the same unchecked time shows every time where a connection to a server comes up 1 s late. Done: the disruption of case 1 replaced; the stand-ins take a connect-timeout and a server's start.

--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -190,9 +190,16 @@
   std::mutex mutex_;
   std::vector<std::string> events_;
 };
-inline std::string host(const std::string& name, int port, const char* health = "active") {
+// `started_ms`: the Unix time of a late start; 0 for one long ago.
+inline std::string host(const std::string& name, int port, const char* health = "active",
+                        long long started_ms = 0) {
   return R"({"host":")" + name + R"(","dial":")" + address_of(port) +
-         R"(","site":"only","class":"std","block":0,"health":")" + health + R"(","share":1,"born_ms":0})";
+         R"(","site":"only","class":"std","block":0,"health":")" + health + R"(","share":1,"born_ms":)" +
+         std::to_string(started_ms) + "}";
+}
+inline long long unix_ms() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
 }
 
 struct Invoke {
@@ -475,7 +482,7 @@
 // What a case sets of the platform's settings; the rest is that of a small deployment with one router.
 struct Settings {
   std::string name = "date-lookup", effect = "free", group = "all";
-  int aim_ms = 750, deadline_ms = 2500, memory_span_ms = 5000;
+  int aim_ms = 750, deadline_ms = 2500, memory_span_ms = 5000, connect_timeout_ms = 250;
   int sockets = 256, memory_mb = 64, attempts = 5;
   bool cancel = true;
 };
@@ -502,7 +509,8 @@
          (settings.cancel ? "true" : "false") + R"(,"second-copies":false,"send-cap":)" +
          number(settings.attempts) + R"(,"open-cap":20000,"peers":true,
    "probing":false,"retry-after":true,"max-retry-after":500000000,"multiplex":100,"conn-idle":15000000000,
-   "connect-timeout":250000000,"cpu-us-per-s":400000,"cpu-us-per-request":0.0},
+   "connect-timeout":)" +
+         ns(settings.connect_timeout_ms) + R"(,"cpu-us-per-s":400000,"cpu-us-per-request":0.0},
   "reporting":{"how":"none","names":[]},
   "family-info":{"marks-cold":true,"notes-peers-in-hand":true,"keep":10000000000,"answer-within":10000000000,
    "placement-calls":true,"not-loaded":"load","load-window":0,"load-free":0.0,"loads-per-request":0.0}}})";
