Node: bound what clients and servers make the router hold by limits.memory_mb

Cause: limits.memory_mb was read and not used. Each connection had limits of its own (32 requests of 32 KiB, 256 KiB of unread answers, 1 MiB of a server's answer), and their sum over all descriptors is far above the limit. A body was kept twice, for the policy and for the attempt, and a third time until the system took it.

New metrics rushhill_buffer_bytes tell the three kinds apart.

Change: budgets for requests (a quarter of the limit), for unsent attempts and incomplete answers of servers, and for answers that clients do not read (an eighth each). A request beyond its connection's part is refused as OVERLOADED while it is read, so it had no effect; the rest of it is then not taken for a violation of the protocol. A connection may hold as much as is still free (dynamic threshold), so a crowd leaves a newcomer as much as each of it holds. An attempt's copy is dropped once its bytes are under way, and a request has 256 parameters at most.

Why it works: what a peer can fill is charged before it grows, the sum is half of the limit, and refusals need none.

Test: NodeMemoryLimitTest failed before (81,156 kB more than before the clients came, where 32,768 are allowed).

--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -17,6 +17,7 @@
 #include "core/endpoint_call_execution.h"
 #include "core/endpoint_list_source.h"
 #include "core/event_log.h"
+#include "core/memory_budget.h"
 #include "core/peer_messenger.h"
 #include "core/policy_runner.h"
 #include "core/request_lifecycle.h"
@@ -44,6 +45,7 @@
     EndpointListSource& endpoint_lists;
     EventLog& log;
     DeduplicationLog* deduplication = nullptr;  // null if no records are replicated
+    MemoryBudget* request_memory = nullptr;     // charged for open requests; null if it is not limited
   };
   Gateway(const RoutingConfiguration& configuration, std::uint64_t seed, const Ports& ports);
 
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -41,6 +41,7 @@
   const auto [id, request] = env_.requests.add();
   routing_request.id = id;
   request.client = &client;
+  request.memory = MemoryCharge(env_.request_memory, memory_of(message));
   request.message = std::move(message);
   request.accepted = env_.clock.timestamp();
   request.deadline = request.accepted + routing_request.time_left;
--- a/src/core/request_lifecycle.h
+++ b/src/core/request_lifecycle.h
@@ -10,6 +10,7 @@
 #include "core/client.h"
 #include "core/deduplication_log.h"
 #include "core/event_log.h"
+#include "core/memory_budget.h"
 #include "core/source_limiter.h"
 #include "core/timer_service.h"
 #include "core/upstream_transport.h"
@@ -30,7 +31,8 @@
   struct Environment {
     TimerService& clock;
     EventLog& log;
-    DeduplicationLog* deduplication;  // null if no records are replicated
+    DeduplicationLog* deduplication;         // null if no records are replicated
+    MemoryBudget* request_memory = nullptr;  // null if it is not limited
     RequestTable& requests;
     AttemptExecution& attempts;
     SourceLimiter& source_limiter;
--- a/src/core/request_table.cpp
+++ b/src/core/request_table.cpp
@@ -5,6 +5,9 @@
 namespace rushhill::core {
 namespace {
 
+// Bytes beside the message: the entries of the request in the tables of the core, the routing policy, the
+// frontend and the connection pool, its timers, and the names that it is known by.
+constexpr std::size_t request_overhead = 2 * 1024;
 constexpr std::uint64_t first_id_limit = 1ULL << 51U;  // the first id is at most this
 
 // The finalizer of SplitMix64; it makes similar seeds give first ids that are far apart.
@@ -16,6 +19,12 @@
 
 }  // namespace
 
+std::size_t memory_of(const events::CloudEvent& message) {
+  std::size_t bytes = request_overhead + message.data.capacity();
+  for (const auto& [name, value] : message.others) bytes += name.size() + value.size();
+  return bytes;
+}
+
 RequestTable::RequestTable(TimerService& clock, std::uint64_t seed)
     : clock_(clock), next_id_(static_cast<RequestId>(mix_bits(seed) % first_id_limit) + 1) {}
 
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -8,6 +8,7 @@
 
 #include "admission/source_quotas.h"
 #include "core/client.h"
+#include "core/memory_budget.h"
 #include "core/timer_service.h"
 
 namespace rushhill::core {
@@ -18,6 +19,9 @@
   int number = 0;
 };
 
+// Returns the bytes that an accepted request with this message takes until it has ended.
+std::size_t memory_of(const events::CloudEvent& message);
+
 // One attempt to get a request answered by an endpoint. Its number is its index in Request::attempts.
 struct Attempt {
   EndpointId endpoint;
@@ -34,6 +38,7 @@
   bool recorded = false;     // its end must be reported to the deduplication log
   std::optional<RoutingRequest> awaiting_verdict;  // kept for the policy while the verdict is pending
   events::CloudEvent message;
+  MemoryCharge memory{};  // of the message and of what the router notes about the request
   Timestamp accepted{};
   Timestamp deadline{};
   Timer deadline_timer;
--- a/src/fastcgi/records.cpp
+++ b/src/fastcgi/records.cpp
@@ -84,9 +84,11 @@
   return std::ranges::count(params, name, &std::pair<std::string, std::string>::first) > 1;
 }
 
-std::optional<std::vector<std::pair<std::string, std::string>>> read_pairs(std::string_view bytes) {
+std::optional<std::vector<std::pair<std::string, std::string>>> read_pairs(std::string_view bytes,
+                                                                           std::size_t max_pairs) {
   std::vector<std::pair<std::string, std::string>> pairs;
   while (!bytes.empty()) {
+    if (pairs.size() == max_pairs) return std::nullopt;
     const auto name = read_length(bytes);
     const auto value = name ? read_length(bytes) : std::nullopt;
     if (!value || *name > bytes.size() || *value > bytes.size() - *name) return std::nullopt;
@@ -193,7 +195,7 @@
       if (it == incomplete_.end() || content_size_ > 0) return;
       if (!it->second.params_ended)
         return stop_reading("FCGI_STDIN record arrived before the end of the parameters");
-      auto pairs = read_pairs(it->second.params);
+      auto pairs = read_pairs(it->second.params, bounds_.pairs);
       if (!pairs) return refuse_request(number_, Refusal::params_unreadable);
       Request request{std::move(*pairs), std::move(it->second.body), it->second.keep};
       incomplete_.erase(it);
@@ -204,7 +206,7 @@
     case data_type:
       return;
     case get_values_type: {
-      const auto pairs = read_pairs(control_content_);
+      const auto pairs = read_pairs(control_content_, bounds_.pairs);
       if (!pairs) return stop_reading("FCGI_GET_VALUES record has malformed name-value pairs");
       std::vector<std::string> names;
       for (const auto& [name, value] : *pairs) names.push_back(name);
@@ -223,6 +225,10 @@
     return observer_.refused(number_, Refusal::unknown_role, keep);
   if (incomplete_.size() + complete_.size() >= bounds_.open)
     return observer_.refused(number_, Refusal::too_many, keep);
+  if (!observer_.may_hold(0)) {
+    allow_rest_of_request();
+    return observer_.refused(number_, Refusal::no_memory, keep);
+  }
   incomplete_.emplace(number_, IncompleteRequest{.since = now, .keep = keep});
 }
 
@@ -233,6 +239,7 @@
     return stop_reading("FCGI_PARAMS record arrived after the end of the parameters");
   if (it->second.params.size() + part.size() > bounds_.params || !has_room_for(part.size()))
     return refuse_request(number_, Refusal::params_too_large);
+  if (!may_grow(it->second.params, part.size(), bounds_.params)) return refuse_for_memory(number_);
   it->second.params += part;
 }
 
@@ -243,12 +250,24 @@
     return stop_reading("FCGI_STDIN record arrived before the end of the parameters");
   if (it->second.body.size() + part.size() > bounds_.body || !has_room_for(part.size()))
     return refuse_request(number_, Refusal::body_too_large);
+  if (!may_grow(it->second.body, part.size(), bounds_.body)) return refuse_for_memory(number_);
   it->second.body += part;
 }
 
+// Reserves room for what is left of the record, so that the text does not grow in steps.
+bool Reader::may_grow(std::string& text, std::size_t bytes, std::size_t bound) {
+  const std::size_t needed = std::min(text.size() + bytes + content_left_, bound);
+  if (needed <= text.capacity()) return true;
+  if (!observer_.may_hold(needed - text.capacity())) return false;
+  text.reserve(needed);
+  return true;
+}
+
 // Counts ignored content and stops reading once it exceeds the limit.
 void Reader::count_ignored(std::size_t bytes) {
-  ignored_bytes_ += bytes;
+  const std::size_t allowed = std::min(bytes, ignored_allowance_);
+  ignored_allowance_ -= allowed;
+  ignored_bytes_ += bytes - allowed;
   if (ignored_bytes_ > bounds_.stray)
     stop_reading("client sent too much data that belongs to no incomplete request");
 }
@@ -266,6 +285,24 @@
   observer_.refused(number, reason, keep);
 }
 
+void Reader::refuse_for_memory(Number number) {
+  allow_rest_of_request();
+  refuse_request(number, Refusal::no_memory);
+}
+
+// The client of a refused request may have sent the rest of it before it can know of the refusal.
+void Reader::allow_rest_of_request() {
+  const std::size_t largest_request = bounds_.params + bounds_.body;
+  ignored_allowance_ = std::min(ignored_allowance_ + largest_request, bounds_.open * largest_request);
+}
+
+std::size_t Reader::held_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [number, partial] : incomplete_)
+    bytes += partial.params.capacity() + partial.body.capacity();
+  return bytes;
+}
+
 void Reader::stop_reading(const char* reason) {
   if (stopped_) return;
   stopped_ = true;
--- a/src/fastcgi/records.h
+++ b/src/fastcgi/records.h
@@ -21,6 +21,7 @@
 struct Bounds {
   std::size_t params = 16 * 1024;       // bytes of a request's parameters
   std::size_t body = 16 * 1024;         // bytes of a request's body
+  std::size_t pairs = 256;              // parameters of a request
   std::size_t open = 32;                // open requests of a connection
   std::size_t incomplete = 128 * 1024;  // bytes of all incomplete requests of a connection
   // Bytes of ignored content between two complete requests: data for requests that are not being received,
@@ -38,7 +39,7 @@
   bool repeats(std::string_view name) const;
 };
 
-enum class Refusal { unknown_role, too_many, params_too_large, params_unreadable, body_too_large };
+enum class Refusal { unknown_role, too_many, no_memory, params_too_large, params_unreadable, body_too_large };
 
 // Receives what a reader has read. All calls are made from within the call that passes bytes to the reader.
 class Taker {
@@ -47,6 +48,9 @@
   Taker(const Taker&) = delete;
   Taker& operator=(const Taker&) = delete;
   virtual ~Taker() = default;
+  // Returns whether so many more bytes may be held for incomplete requests; a request that needs more is
+  // refused.
+  virtual bool may_hold(std::size_t /*bytes*/) { return true; }
   // Called with a complete request, which stays open until the reader releases its number.
   virtual void request(Number number, Request request) = 0;
   // Called when a request has been refused; it is not open.
@@ -71,6 +75,8 @@
   // Releases the number of a complete request, which has been answered or cancelled.
   void ended(Number number) { complete_.erase(number); }
   bool is_stopped() const { return stopped_; }
+  // Bytes that are held for incomplete requests.
+  std::size_t held_bytes() const;
   // Returns when the oldest incomplete record or request began, or nullopt if there is none.
   std::optional<Time> unfinished_since() const;
 
@@ -84,11 +90,14 @@
   void read_content(std::string_view part);
   void finish_record(Time now);
   void begin_request(Time now);
+  bool may_grow(std::string& text, std::size_t bytes, std::size_t bound);
   void append_params(std::string_view part);
   void append_body(std::string_view part);
   void count_ignored(std::size_t bytes);
   bool has_room_for(std::size_t bytes) const;
   void refuse_request(Number number, Refusal reason);
+  void refuse_for_memory(Number number);
+  void allow_rest_of_request();
   void stop_reading(const char* reason);
 
   Taker& observer_;
@@ -97,6 +106,7 @@
   std::uint8_t type_ = 0;
   Number number_ = 0;
   std::size_t content_left_ = 0, padding_left_ = 0, content_size_ = 0, ignored_bytes_ = 0;
+  std::size_t ignored_allowance_ = 0;  // bytes that may still come of requests that were refused for memory
   bool in_record_ = false, stopped_ = false;
   Time record_started_ = 0;
   std::map<Number, IncompleteRequest> incomplete_;
@@ -113,8 +123,10 @@
 std::string values_result(const std::vector<std::pair<std::string, std::string>>& values);
 std::string unknown_type(std::uint8_t type);
 
-// Reads name-value pairs with lengths of one or four bytes. Returns nullopt if they are malformed.
-std::optional<std::vector<std::pair<std::string, std::string>>> read_pairs(std::string_view bytes);
+// Reads name-value pairs with lengths of one or four bytes. Returns nullopt if they are malformed or too
+// many.
+std::optional<std::vector<std::pair<std::string, std::string>>> read_pairs(std::string_view bytes,
+                                                                           std::size_t max_pairs = SIZE_MAX);
 std::string write_pairs(const std::vector<std::pair<std::string, std::string>>& pairs);
 // Encodes a request as a web server sends it; used by the simulation and by tests.
 std::string write_request(Number number, const Request& request);
--- a/src/frontends/fastcgi_answers.cpp
+++ b/src/frontends/fastcgi_answers.cpp
@@ -27,6 +27,7 @@
     case Refusal::unknown_role:
       return fastcgi::end_request(number, Ended::unknown_role, 0);
     case Refusal::too_many:
+    case Refusal::no_memory:
       break;
     case Refusal::params_too_large:
       return response_records(
--- a/src/frontends/fastcgi_connection.cpp
+++ b/src/frontends/fastcgi_connection.cpp
@@ -24,6 +24,7 @@
 
 FastCgiFront::Connection::Connection(FastCgiFront& front, const transport::PendingConnection& pending)
     : front_(front), reader_(*this, front.rules_.bounds), requests_(front.counts_),
+      partial_memory_(&front.memory_.requests), answer_memory_(&front.memory_.answers),
       quiet_since_(front.reactor_.now()) {
   stream_ = Stream::adopt(front.reactor_, pending, *this);
 }
@@ -33,6 +34,9 @@
   if (std::exchange(closed_, true)) return;
   requests_.ended(end, stream_->handed_over_bytes());
   stream_->close();
+  open_memory_ = 0;
+  partial_memory_.resize(0);
+  answer_memory_.resize(0);
   for (const auto& [request_id, request] : std::exchange(open_, {})) {
     front_.open_ids_.erase(request.id);
     front_.gateway_.client_cancelled(request_id, request.unread);
@@ -62,6 +66,7 @@
 }
 
 bool FastCgiFront::Connection::has_timed_out(Time now) const {
+  if (over_memory_) return true;
   if (open_requests() > 0) return false;
   const Time quiet_for = now - quiet_since_;
   if (stream_->pending_bytes() > 0) return quiet_for >= read_within;
@@ -82,6 +87,7 @@
   if (!received_.empty() && !closed_ && stream_->peek() == Stream::Peeked::end)
     return front_.connections_.remove(*this, ConnectionEnd::by_client);
   start_received();
+  if (!closed_) partial_memory_.resize(reader_.held_bytes());
   if (unreadable_) return close_if_answered();
   if (!closed_ && stream_->pending_bytes() > front_.rules_.unread)
     return front_.connections_.remove(*this, ConnectionEnd::by_gateway);
@@ -91,11 +97,24 @@
 void FastCgiFront::Connection::on_write_drained() {
   requests_.handed_over(stream_->handed_over_bytes());
   quiet_since_ = front_.reactor_.now();
+  answer_memory_.resize(0);
 }
 void FastCgiFront::Connection::on_closed(transport::CloseReason) {
   front_.connections_.remove(*this, ConnectionEnd::by_client);
 }
 
+bool FastCgiFront::Connection::may_hold(std::size_t bytes) {
+  if (!has_memory_for(bytes)) return false;
+  partial_memory_.resize(partial_memory_.bytes() + bytes);
+  return true;
+}
+bool FastCgiFront::Connection::has_memory_for(std::size_t bytes) {
+  partial_memory_.resize(reader_.held_bytes());
+  if (front_.memory_.requests.admits(partial_memory_.bytes() + open_memory_, bytes)) return true;
+  ++front_.counts_.refused_for_memory;
+  return false;
+}
+
 void FastCgiFront::Connection::request(fastcgi::Number number, fastcgi::Request request) {
   request_seen_ = true;
   requests_.taken();
@@ -132,7 +151,8 @@
   }
   if (*path == metrics_path) {
     reader_.ended(exchange.number);
-    answer(exchange, {.content_type = metrics_type, .body = to_prometheus(front_.counts_)});
+    answer(exchange, {.content_type = metrics_type,
+                      .body = to_prometheus(front_.counts_) + to_prometheus(front_.memory_)});
     return true;
   }
   return false;
@@ -144,6 +164,11 @@
     reader_.ended(exchange.number);
     return answer_overloaded(exchange);
   }
+  const std::size_t memory = core::memory_of(request.message);
+  if (!has_memory_for(memory)) {
+    reader_.ended(exchange.number);
+    return answer_overloaded(exchange);
+  }
   const std::string id = request.message.id;
   if (front_.open_ids_.contains(id)) {
     reader_.ended(exchange.number);
@@ -156,7 +181,8 @@
     reader_.ended(exchange.number);
     return answer_overloaded(exchange);
   }
-  open_.emplace(*request_id, OpenRequest{exchange, id});
+  open_.emplace(*request_id, OpenRequest{.exchange = exchange, .id = id, .memory = memory});
+  open_memory_ += memory;
   front_.open_ids_.insert(id);
 }
 
@@ -238,6 +264,7 @@
   const auto it = open_.find(request_id);
   OpenRequest request = std::move(it->second);
   open_.erase(it);
+  open_memory_ -= request.memory;
   reader_.ended(request.exchange.number);
   front_.open_ids_.erase(request.id);
   return request;
@@ -264,11 +291,25 @@
   if (closed_) return;
   quiet_since_ = front_.reactor_.now();
   stream_->write(bytes);
+  charge_unsent_answers();
   if ((keep && !unreadable_) || open_requests() > 0) return;
   closing_ = true;
   stream_->shutdown_write();
 }
 
+// A client that reads has its answers at once in the system's buffers. Where others do not, and there is no
+// memory for what they have been sent, their connections are closed.
+void FastCgiFront::Connection::charge_unsent_answers() {
+  const std::size_t unsent = stream_->pending_bytes();
+  answer_memory_.resize(0);
+  const bool admitted = unsent == 0 || front_.memory_.answers.admits(0, unsent);
+  answer_memory_.resize(unsent);
+  if (admitted || std::exchange(over_memory_, true)) return;
+  front_.log_.write(core::Level::warning, "no memory for the answers that a client does not read; closing",
+                    {{"bytes", std::to_string(unsent)}});
+  front_.close_soon();
+}
+
 void FastCgiFront::Connection::close_if_answered() {
   if (closed_ || open_requests() > 0) return;
   if (stream_->pending_bytes() > 0) return finish();
--- a/src/frontends/fastcgi_connection.h
+++ b/src/frontends/fastcgi_connection.h
@@ -65,9 +65,12 @@
     Exchange exchange{};
     std::string id{};
     std::uint64_t unread = 0;  // attempts that started while something of its client stood unread
+    std::size_t memory = 0;    // bytes that the gateway is charged for it
   };
 
-  // fastcgi::Taker. A request is started when all that came with it has been read: its client may cancel it
+  // fastcgi::Taker
+  bool may_hold(std::size_t bytes) override;
+  // A request is started when all that came with it has been read: its client may cancel it
   // there.
   void request(fastcgi::Number number, fastcgi::Request request) override;
   void refused(fastcgi::Number number, fastcgi::Refusal why, bool keep) override;
@@ -92,6 +95,9 @@
   // Every attempt so far is known to have started with nothing unread before its client's leaving.
   void reset_unread();
   OpenRequest take_open(RequestId request_id);
+  // Whether this client's requests may take so many bytes more.
+  bool has_memory_for(std::size_t bytes);
+  void charge_unsent_answers();
 
   void answer_open(RequestId request_id, const CgiResponse& response);
   void answer(const Exchange& exchange, const CgiResponse& response);
@@ -109,11 +115,15 @@
   fastcgi::Reader reader_;
   ConnectionRequests requests_;
   std::map<RequestId, OpenRequest> open_;
+  std::size_t open_memory_ = 0;  // bytes of all open requests
+  core::MemoryCharge partial_memory_;
+  core::MemoryCharge answer_memory_;
   std::vector<std::pair<fastcgi::Number, fastcgi::Request>> received_;  // complete, and not started
   Time quiet_since_;           // the last answer was written, or read by the client
   bool request_seen_ = false;  // at least one complete request has come
   bool closing_ = false;       // this side has ended
   bool closed_ = false;
+  bool over_memory_ = false;    // its client does not read, and there is no memory for the answers
   bool unreadable_ = false;     // what its client sends cannot be read any more
   bool counts_unread_ = false;  // something stood unread when an attempt started
 };
--- a/src/frontends/fastcgi_front.cpp
+++ b/src/frontends/fastcgi_front.cpp
@@ -13,9 +13,9 @@
 }  // namespace
 
 FastCgiFront::FastCgiFront(transport::Reactor& reactor, core::Gateway& gateway, core::EventLog& log,
-                           const FastCgiRules& rules)
-    : reactor_(reactor), gateway_(gateway), log_(log), rules_(rules), source_(gateway.add_source(1)),
-      connections_(reactor, log, rules.connections) {
+                           const FastCgiRules& rules, core::MemoryBudgets& memory)
+    : reactor_(reactor), gateway_(gateway), log_(log), memory_(memory), rules_(rules),
+      source_(gateway.add_source(1)), connections_(reactor, log, rules.connections) {
   close_timed_out();
 }
 FastCgiFront::~FastCgiFront() { reactor_.cancel(sweep_timer_); }
@@ -55,6 +55,11 @@
   for (Connection* connection : timed_out) connections_.remove(*connection, ConnectionEnd::by_gateway);
 }
 
+void FastCgiFront::close_soon() {
+  reactor_.cancel(sweep_timer_);
+  sweep_timer_ = reactor_.at(reactor_.now(), [this] { close_timed_out(); });
+}
+
 Duration FastCgiFront::time_left(Duration requested, Time age) const {
   const Time left = std::max<Time>(to_ticks(requested) - age, 1);
   return to_duration(answer_by_ == 0 ? left : std::min(left, answer_by_ - reactor_.now()));
--- a/src/frontends/fastcgi_front.h
+++ b/src/frontends/fastcgi_front.h
@@ -8,6 +8,7 @@
 
 #include "core/event_log.h"
 #include "core/gateway.h"
+#include "core/memory_budgets.h"
 #include "fastcgi/records.h"
 #include "frontends/connection_table.h"
 #include "frontends/request_accounting.h"
@@ -25,7 +26,7 @@
 class FastCgiFront {
  public:
   FastCgiFront(transport::Reactor& reactor, core::Gateway& gateway, core::EventLog& log,
-               const FastCgiRules& rules);
+               const FastCgiRules& rules, core::MemoryBudgets& memory);
   ~FastCgiFront();
   FastCgiFront(const FastCgiFront&) = delete;
   FastCgiFront& operator=(const FastCgiFront&) = delete;
@@ -53,12 +54,15 @@
   class Connection;
   // Closes connections whose time is up, and again after a period.
   void close_timed_out();
+  // Closes a connection that is over its memory, after the present call.
+  void close_soon();
   // What is left of the time that a request asks for, which came `age` ago.
   Duration time_left(Duration requested, Time age) const;
 
   transport::Reactor& reactor_;
   core::Gateway& gateway_;
   core::EventLog& log_;
+  core::MemoryBudgets& memory_;
   FastCgiRules rules_;
   admission::SourceQuotas::Source source_;
   RequestCounts counts_;  // outlives the connections
--- a/src/frontends/request_accounting.cpp
+++ b/src/frontends/request_accounting.cpp
@@ -20,9 +20,30 @@
   add("rushhill_requests_dropped_total", "counter", "Requests whose connection was closed unanswered.",
       counts.dropped);
   add("rushhill_requests_open", "gauge", "Requests taken that have not ended.", counts.open);
+  add("rushhill_requests_refused_for_memory_total", "counter", "Requests refused for lack of memory.",
+      counts.refused_for_memory);
   return out;
 }
 
+std::string to_prometheus(const core::MemoryBudgets& memory) {
+  std::string used =
+      "# HELP rushhill_buffer_bytes Bytes charged for buffers that peers fill.\n"
+      "# TYPE rushhill_buffer_bytes gauge\n";
+  std::string limits =
+      "# HELP rushhill_buffer_limit_bytes Limit of these bytes.\n"
+      "# TYPE rushhill_buffer_limit_bytes gauge\n";
+  const auto add = [&](const std::string& kind, const core::MemoryBudget& budget) {
+    const std::string label = "{buffer=\"" + kind + "\"} ";
+    used += "rushhill_buffer_bytes" + label + std::to_string(budget.used_bytes()) + "\n";
+    if (budget.limit_bytes() != core::MemoryBudget::unlimited)
+      limits += "rushhill_buffer_limit_bytes" + label + std::to_string(budget.limit_bytes()) + "\n";
+  };
+  add("requests", memory.requests);
+  add("upstream", memory.upstream);
+  add("answers", memory.answers);
+  return used + limits;
+}
+
 std::string to_text(const RequestCounts& counts) {
   return "taken " + std::to_string(counts.taken) + ", answered " + std::to_string(counts.answered) +
          ", cancelled " + std::to_string(counts.cancelled) + ", dropped " + std::to_string(counts.dropped) +
--- a/src/frontends/request_accounting.h
+++ b/src/frontends/request_accounting.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "core/memory_budgets.h"
+
 namespace rushhill::frontends {
 
 // Totals of one frontend since its start, in requests.
@@ -17,13 +19,16 @@
   std::uint64_t cancelled = 0;  // the client cancelled, disconnected or broke the protocol before that
   std::uint64_t dropped = 0;    // we closed the connection before that: the fault that this is here to show
   std::uint64_t open = 0;       // none of these yet
+  std::uint64_t refused_for_memory = 0;  // no state: counted beside the others
 
   bool balanced() const { return taken == open + answered + cancelled + dropped; }
 };
 
 // The counts as metrics in the Prometheus text exposition format, version 0.0.4.
 std::string to_prometheus(const RequestCounts& counts);
-// The same on one line, for the log.
+// The bytes charged to each budget, and its limit.
+std::string to_prometheus(const core::MemoryBudgets& memory);
+// The counts on one line, for the log.
 std::string to_text(const RequestCounts& counts);
 
 // Who ended a connection.
--- a/src/line_protocol/answers.h
+++ b/src/line_protocol/answers.h
@@ -36,6 +36,8 @@
   explicit Reader(const Bounds& bounds) : bounds_(bounds) {}
   void put(std::string_view bytes);
   Progress next(Answer& answer);
+  // Bytes that are held for answers that are incomplete or not extracted.
+  std::size_t held_bytes() const { return input_.size(); }
   // Returns whether no part of a further answer has been received.
   bool is_between_answers() const { return offset_ >= input_.size() && !answer_; }
   // Returns the id of the malformed answer, or an empty string if its id could not be read.
@@ -58,6 +60,7 @@
   std::string before_deadline{};
   std::string after_deadline{};
   std::string text(Time left) const;  // `left` in tenths of a millisecond
+  std::size_t size() const { return before_deadline.size() + after_deadline.size(); }
 };
 
 // `idempotency_key` lets a server run the request only once; it is empty if the request has none.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -31,6 +31,8 @@
 // be refused. The log's descriptor is already open when descriptors are counted.
 constexpr std::size_t reserved_descriptors = 6;
 
+constexpr std::size_t bytes_per_mb = 1024 * 1024;
+
 // Fraction of the servers' idle timeout after which the router closes a connection, so that it closes first.
 constexpr double idle_timeout_fraction = 0.66;
 
@@ -44,6 +46,7 @@
 Node::Node(transport::Reactor& reactor, const Configuration& configuration, core::EventLog& event_log)
     : reactor_(reactor), event_log_(event_log),
       descriptor_shares_(transport::share_descriptors(configuration.sockets, reserved_descriptors)),
+      memory_(configuration.memory_mb * bytes_per_mb),
       pool_(reactor,
             {.requests_per_connection = std::max(configuration.routing.requests_per_connection, 1),
              .connections = descriptor_shares_.servers,
@@ -54,7 +57,8 @@
                  static_cast<double>(to_ticks(configuration.routing.connection_idle_timeout)) *
                  idle_timeout_fraction),
              .reports = configuration.routing.reports.load_reports != "" &&
-                        configuration.routing.reports.load_reports != "none"},
+                        configuration.routing.reports.load_reports != "none",
+             .memory = &memory_.upstream},
             event_log),
       peers_(!configuration.routing.reports.gossip
                  ? nullptr
@@ -77,8 +81,9 @@
                 .upstream = pool_,
                 .peers = peers_ ? static_cast<core::PeerMessenger&>(*peers_) : no_peers,
                 .endpoint_lists = *discovery_,
-                .log = event_log}),
-      frontend_(reactor, gateway_, event_log, {.connections = descriptor_shares_.clients}) {
+                .log = event_log,
+                .request_memory = &memory_.requests}),
+      frontend_(reactor, gateway_, event_log, {.connections = descriptor_shares_.clients}, memory_) {
   pool_.report_to(gateway_);
   const membership::Known initial = discovery_->translated(membership::read_initial_endpoint_list(
       settings::Fields(configuration.initial_endpoint_list, "known"), membership::as_told));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,6 +7,7 @@
 
 #include "core/event_log.h"
 #include "core/gateway.h"
+#include "core/memory_budgets.h"
 #include "frontends/fastcgi_front.h"
 #include "membership/platform_discovery_client.h"
 #include "node/configuration.h"
@@ -47,6 +48,7 @@
   transport::Reactor& reactor_;
   core::EventLog& event_log_;
   transport::DescriptorShares descriptor_shares_;
+  core::MemoryBudgets memory_;
   upstream::LinePool pool_;
   std::unique_ptr<transport::UnframedPeerLinks> peers_;
   std::unique_ptr<membership::PlatformDiscoveryClient> discovery_;
--- a/src/upstream/line_connection.cpp
+++ b/src/upstream/line_connection.cpp
@@ -20,7 +20,8 @@
 
 LineConnection::LineConnection(transport::Reactor& reactor, LineConnectionOwner& owner,
                                LineEndpoint& endpoint, const LineConnectionLimits& limits)
-    : reactor_(reactor), owner_(owner), endpoint_(endpoint), limits_(limits), reader_(limits.answers) {}
+    : reactor_(reactor), owner_(owner), endpoint_(endpoint), limits_(limits), reader_(limits.answers),
+      answer_memory_(limits.memory) {}
 
 void LineConnection::connect(const transport::Address& address) {
   stream_ = Stream::connect(reactor_, address, *this);
@@ -37,6 +38,7 @@
   closed_ = true;
   reactor_.cancel(timer_);
   reactor_.cancel(renewal_timer_);
+  answer_memory_.resize(0);
   if (stream_) stream_->close();
 }
 
@@ -149,11 +151,12 @@
 void LineConnection::on_data(std::string_view bytes) {
   const auto self = shared_from_this();
   answer_started_ = true;
+  if (!has_memory_for(bytes.size())) return answer_unreadable({});
   reader_.put(bytes);
   line_protocol::Answer answer;
   while (!closed_) {
     const line_protocol::Progress progress = reader_.next(answer);
-    if (progress == line_protocol::Progress::more) return;
+    if (progress == line_protocol::Progress::more) return answer_memory_.resize(reader_.held_bytes());
     if (progress == line_protocol::Progress::bad) return answer_unreadable(reader_.malformed_answer_id());
     // If there is no such exchange, the id is unknown, was answered before, or belongs to a cancelled
     // exchange.
@@ -162,6 +165,10 @@
   }
 }
 
+bool LineConnection::has_memory_for(std::size_t answer_bytes) const {
+  return limits_.memory == nullptr || limits_.memory->admits(answer_memory_.bytes(), answer_bytes);
+}
+
 void LineConnection::on_answer(Exchanges::iterator it, line_protocol::Answer answer) {
   const LineExchange exchange = detach(it);
   if (idle()) {
@@ -242,7 +249,10 @@
 void LineConnection::report_started_attempts() {
   for (auto& [tag, exchange] : exchanges_) {
     if (!has_started(exchange)) continue;
-    if (!std::exchange(exchange.started, true)) owner_.attempt_started(exchange.call.request);
+    if (std::exchange(exchange.started, true)) continue;
+    exchange.invocation = {};  // never to be sent again
+    exchange.memory = {};
+    owner_.attempt_started(exchange.call.request);
   }
 }
 
--- a/src/upstream/line_connection.h
+++ b/src/upstream/line_connection.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/memory_budget.h"
 #include "line_protocol/answers.h"
 #include "transport/numbered.h"
 #include "transport/reactor.h"
@@ -30,11 +31,12 @@
   std::string command{};  // the bytes to send; unused for an attempt
   line_protocol::Invocation invocation{};  // of an attempt: the bytes to send, except for the deadline
   Time deadline = 0;                       // of an attempt: when its client stops waiting
-  bool retried = false;    // whether it was already moved from a lost connection to another one
-  bool started = false;    // whether the system has taken bytes of it
-  std::size_t offset = 0;  // number of bytes before it on its connection
-  std::size_t size = 0;    // number of its own bytes on its connection
-  core::Timer timer{};     // ends it as unanswered; not set for attempts
+  bool retried = false;         // whether it was already moved from a lost connection to another one
+  bool started = false;         // whether the system has taken bytes of it
+  std::size_t offset = 0;       // number of bytes before it on its connection
+  std::size_t size = 0;         // number of its own bytes on its connection
+  core::Timer timer{};          // ends it as unanswered; not set for attempts
+  core::MemoryCharge memory{};  // of an attempt: for its bytes until the system has taken some of them
 
   bool is_attempt() const { return call.kind == transport::UpstreamCallKind::attempt; }
   // Returns the bytes to send at `now`: those of an attempt contain the time that its client still waits.
@@ -47,6 +49,7 @@
   Time connect_timeout = 0;   // tenths of a millisecond
   Time idle_timeout = 0;      // tenths of a millisecond
   line_protocol::Bounds answers{};
+  core::MemoryBudget* memory = nullptr;  // charged for incomplete answers; null if it is not limited
 };
 
 // Called by a connection; implemented by its pool.
@@ -147,6 +150,7 @@
   std::vector<LineExchange> detach_all();
   void on_answer(Exchanges::iterator it, line_protocol::Answer answer);
   void answer_unreadable(const std::string& malformed_answer_id);
+  bool has_memory_for(std::size_t answer_bytes) const;
   void fail(AttemptOutcome outcome, UnsentExchanges unsent);
 
   transport::Reactor& reactor_;
@@ -155,6 +159,7 @@
   LineConnectionLimits limits_;
   std::shared_ptr<transport::Stream> stream_;
   line_protocol::Reader reader_;
+  core::MemoryCharge answer_memory_;
   Exchanges exchanges_;                  // by tag
   std::deque<std::string> recent_tags_;  // carried last, the oldest first
   core::Timer timer_;                    // the connect timeout, or the idle timeout
--- a/src/upstream/line_pool.cpp
+++ b/src/upstream/line_pool.cpp
@@ -4,6 +4,13 @@
 
 namespace rushhill::upstream {
 
+namespace {
+
+// Of an attempt's bytes: one to be renewed and one to be sent.
+constexpr std::size_t copies_of_unsent = 2;
+
+}  // namespace
+
 using transport::UpstreamCall;
 using transport::UpstreamCallKind;
 
@@ -30,15 +37,20 @@
 void LinePool::send(const core::AttemptCall& call) {
   const std::string* function = call.message.other("function");
   const std::string* number = call.message.other("number");
-  start({.call = {.kind = UpstreamCallKind::attempt,
-                  .endpoint = call.endpoint,
-                  .request = call.request,
-                  .attempt_number = call.attempt_number},
-         .tag = call.message.id,
-         .invocation = line_protocol::invocation(call.message.id, call.message.type,
-                                                 function == nullptr ? "" : *function,
-                                                 number == nullptr ? "" : *number, call.message.data),
-         .deadline = reactor().now() + to_ticks(call.time_left)});
+  LineExchange exchange{.call = {.kind = UpstreamCallKind::attempt,
+                                 .endpoint = call.endpoint,
+                                 .request = call.request,
+                                 .attempt_number = call.attempt_number},
+                        .tag = call.message.id,
+                        .invocation = line_protocol::invocation(
+                            call.message.id, call.message.type, function == nullptr ? "" : *function,
+                            number == nullptr ? "" : *number, call.message.data),
+                        .deadline = reactor().now() + to_ticks(call.time_left)};
+  const std::size_t bytes = copies_of_unsent * exchange.invocation.size();
+  if (limits_.memory != nullptr && !limits_.memory->admits(0, bytes))
+    return exchange_failed_later(std::move(exchange), AttemptOutcome::not_sent);
+  exchange.memory = core::MemoryCharge(limits_.memory, bytes);
+  start(std::move(exchange));
 }
 
 void LinePool::probe(const EndpointId& id, Duration timeout) {
@@ -135,7 +147,8 @@
       LineConnectionLimits{.exchanges = static_cast<std::size_t>(limits_.requests_per_connection),
                            .connect_timeout = limits_.connect_limit,
                            .idle_timeout = limits_.idle,
-                           .answers = limits_.answers});
+                           .answers = limits_.answers,
+                           .memory = limits_.memory});
   add(connection);
   connection->connect(address);
   return connection.get();
--- a/src/upstream/line_pool.h
+++ b/src/upstream/line_pool.h
@@ -21,6 +21,8 @@
   Time idle = 0;                    // tenths of a millisecond; shorter than the idle timeout of the endpoints
   bool reports = false;             // whether probes ask for the load report
   line_protocol::Bounds answers{};
+  // Charged for unsent attempts and incomplete answers; null if it is not limited.
+  core::MemoryBudget* memory = nullptr;
 };
 
 // An endpoint and its connections. A connection is idle if no exchange is open on it.
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -39,6 +39,11 @@
   Caller(const Caller&) = delete;
   Caller& operator=(const Caller&) = delete;
   void send(const std::string& bytes) const { ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+  // Returns how many bytes the system has taken.
+  std::size_t send_some(const std::string& bytes) const {
+    const ssize_t sent = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  }
   const std::string& seen() {
     char bytes[4096];
     for (ssize_t got = 0; (got = recv(socket_, bytes, sizeof bytes, 0)) > 0;)
--- /dev/null
+++ b/tests/node/memory_limit_test.cpp
@@ -0,0 +1,83 @@
+// Guards against a router that goes over limits.memory_mb because of what its clients may make it hold: each
+// keeps to the limits of a connection, and there are many of them.
+#include <memory>
+#include <vector>
+
+#include "crowd.h"
+#include "node_process.h"
+#include "platform_fixture.h"
+
+namespace rushhill::node {
+namespace {
+
+constexpr int memory_limit_mb = 32;
+constexpr long kb_per_mb = 1024;
+constexpr int clients_count = 100;
+constexpr int requests_per_connection = 32;      // that may be open at once
+constexpr std::size_t largest_body = 16 * 1024;  // bytes
+constexpr Time observation_time = 30'000;        // tenths of a millisecond; longer than a request is open
+constexpr Time answer_within = 30'000;           // likewise
+// Sanitizers: memory that is freed is used again, as without them.
+constexpr const char* without_quarantine = "quarantine_size_mb=0:thread_local_quarantine_size_kb=0";
+
+std::string largest_requests(int client) {
+  std::string bytes;
+  for (int number = 1; number <= requests_per_connection; ++number)
+    bytes += invoke_request(static_cast<fastcgi::Number>(number),
+                            request_id(client * requests_per_connection + number),
+                            {.body = std::string(largest_body, 'b')});
+  return bytes;
+}
+
+// A client that sends as fast as the router reads, without waiting for it.
+class EagerClient {
+ public:
+  EagerClient(const transport::Address& to, std::string bytes) : caller_(to), unsent_(std::move(bytes)) {}
+  void step() {
+    caller_.seen();
+    unsent_.erase(0, caller_.send_some(unsent_));
+  }
+
+ private:
+  Caller caller_;
+  std::string unsent_;
+};
+
+class NodeMemoryLimitTest : public PlatformTest {
+ protected:
+  static Settings settings() {
+    Settings result;
+    result.descriptor_limit = "256";
+    result.memory_limit_mb = std::to_string(memory_limit_mb);
+    return result;
+  }
+
+  // The servers answer nothing, so that all that was accepted stays open.
+  NodeProcess process{configuration(settings(), discovery.address(),
+                                    host("s1", server1.address(), "active", 0, "64") + "," +
+                                        host("s2", server2.address(), "active", 0, "64")),
+                      {{"ASAN_OPTIONS", without_quarantine}}};
+  transport::Address address = process.address();
+};
+
+// What sanitizers need of their own is there before the clients come, so the growth is compared.
+TEST_F(NodeMemoryLimitTest, StaysUnderItsLimitWhileAHundredClientsSendTheLargestRequests) {
+  raise_descriptors();
+  const long before_kb = process.anonymous_memory_kb();
+  std::vector<std::unique_ptr<EagerClient>> clients;
+  for (int i = 0; i < clients_count; ++i)
+    clients.push_back(std::make_unique<EagerClient>(address, largest_requests(i)));
+  long peak_kb = before_kb;
+  driver.until(
+      [&] {
+        for (const auto& client : clients) client->step();
+        peak_kb = std::max(peak_kb, process.anonymous_memory_kb());
+        return false;
+      },
+      observation_time);
+  EXPECT_LT(peak_kb - before_kb, memory_limit_mb * kb_per_mb);
+  ASSERT_FALSE(process.has_exited());
+}
+
+}  // namespace
+}  // namespace rushhill::node
--- a/tests/node/node_process.h
+++ b/tests/node/node_process.h
@@ -6,7 +6,9 @@
 
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <string>
+#include <utility>
 
 #include "process.h"
 
@@ -14,10 +16,8 @@
 
 class NodeProcess {
  public:
-  explicit NodeProcess(const std::string& configuration)
-      : path_(new_path()),
-        process_((write_configuration(configuration),
-                  Launch{.arguments = {"node"}, .environment = {{"PROXY_CONFIG", path_}}})) {}
+  explicit NodeProcess(const std::string& configuration, std::map<std::string, std::string> environment = {})
+      : path_(new_path()), process_((write_configuration(configuration), launch(std::move(environment)))) {}
   ~NodeProcess() { std::remove(path_.c_str()); }
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
@@ -42,8 +42,13 @@
     return WIFEXITED(status) && WEXITSTATUS(status) == 0;
   }
   double processor_seconds() const { return process_.used(); }
+  long anonymous_memory_kb() const { return process_.anonymous_memory_kb(); }
 
  private:
+  Launch launch(std::map<std::string, std::string> environment) const {
+    environment["PROXY_CONFIG"] = path_;
+    return {.arguments = {"node"}, .environment = std::move(environment)};
+  }
   static std::string new_path() {
     static int number = 0;
     return testing::TempDir() + "node-" + std::to_string(getpid()) + "-" + std::to_string(number++) + ".json";
--- a/tests/node/platform_messages.h
+++ b/tests/node/platform_messages.h
@@ -18,6 +18,7 @@
   std::string retry_safety = "free", descriptor_limit = "512", requests_per_connection = "100",
               not_loaded_policy = "load";
   std::string attempt_limit = "5";
+  std::string deduplication_span = "0", memory_limit_mb = "64";
   std::string listen = "127.0.0.1:0";
   std::string peer_listen{};  // empty: no gossip between routers
   std::string peers{};        // quoted addresses, separated by commas
@@ -50,8 +51,8 @@
   const std::string number_text = std::to_string(number);
   const bool gossips = !settings.peer_listen.empty();
   return R"({"name":"n)" + std::to_string(settings.router_number) + R"(","listen":")" + settings.listen +
-         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":64,"sockets":)" +
-         settings.descriptor_limit + R"(},"board":")" + discovery + R"(",)" +
+         R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" + settings.memory_limit_mb +
+         R"(,"sockets":)" + settings.descriptor_limit + R"(},"board":")" + discovery + R"(",)" +
          (gossips ? R"("peer_listen":")" + settings.peer_listen + R"(","peers":[)" + settings.peers + "],"
                   : "") +
          R"("known":{"rev":)" + number_text + R"(,"notices":[)" + endpoint_list_message(number, true, hosts) +
@@ -59,8 +60,8 @@
          std::to_string(settings.routers) + R"(,"zone":"old","quantum":4000000,
   "services":[{"name":"date-lookup","promise":)" +
          settings.latency_objective + R"(,"deadline":)" + settings.deadline + R"(,"effect":")" +
-         settings.retry_safety +
-         R"(","worth":1.0}],"tenants":[],
+         settings.retry_safety + R"(","memory-span":)" + settings.deduplication_span +
+         R"(,"worth":1.0}],"tenants":[],
   "obligations":{"drain-grace":2000000000,"fall":1500000000,"fall-multiple":2.0,"cold":16000000000,"cold-share":)" +
          settings.initial_capacity + R"(},
   "permissions":{"cancel":)" +
@@ -79,17 +80,20 @@
   int allow_ms = 2'500;  // how long the client waits
   std::string function = "7f3a9c21e0b4d655";
   std::string body = "ask";
+  std::string key{};  // the idempotency key; empty: none
 };
 inline std::string invoke_request(fastcgi::Number number, const std::string& id,
                                   const RequestOptions& options = {}) {
-  return fastcgi::write_request(number, {.params = {{"SCRIPT_NAME", "/ops/date-lookup"},
-                                                    {"HTTP_X_JOB_ID", id},
-                                                    {"HTTP_X_ALLOW_MS", std::to_string(options.allow_ms)},
-                                                    {"HTTP_X_ITEM", options.function},
-                                                    {"HTTP_X_FACTS", "memory_mb:512;lanes:2;load_ms:300"},
-                                                    {"CONTENT_LENGTH", std::to_string(options.body.size())}},
-                                         .body = options.body,
-                                         .keep = options.keep});
+  fastcgi::Request request{.params = {{"SCRIPT_NAME", "/ops/date-lookup"},
+                                      {"HTTP_X_JOB_ID", id},
+                                      {"HTTP_X_ALLOW_MS", std::to_string(options.allow_ms)},
+                                      {"HTTP_X_ITEM", options.function},
+                                      {"HTTP_X_FACTS", "memory_mb:512;lanes:2;load_ms:300"},
+                                      {"CONTENT_LENGTH", std::to_string(options.body.size())}},
+                           .body = options.body,
+                           .keep = options.keep};
+  if (!options.key.empty()) request.params.emplace_back("HTTP_X_UNIQUE", options.key);
+  return fastcgi::write_request(number, request);
 }
 // The id of a request, which has 16 hex digits.
 inline std::string request_id(int number) {
--- a/tests/process.h
+++ b/tests/process.h
@@ -100,6 +100,15 @@
     closedir(all);
     return count;
   }
+  // Memory of its own in use, without the program's text and libraries, in kB.
+  long anonymous_memory_kb() const {
+    std::ifstream in("/proc/" + std::to_string(id_) + "/status");
+    const std::string name = "RssAnon:";
+    for (std::string line; std::getline(in, line);) {
+      if (line.starts_with(name)) return std::strtol(line.c_str() + name.size(), nullptr, 10);
+    }
+    return 0;
+  }
   // Processor time used so far, in seconds.
   double used() const {
     std::ifstream in("/proc/" + std::to_string(id_) + "/stat");
