Routing: bound what is known of functions by the memory limit

Cause: the policy kept a record for every function of the last 120 s, with a place for each server.

Change: FunctionTable has a limit, for `node` 3/16 of limits.memory_mb. Beyond it the least recently requested functions lose their candidates, which are ranked anew when needed, and then their record, except where an attempt or order is open. Candidate lists are reserved at their size in place of up to twice as much. Without a limit (simulator, `serve`) nothing is given up.

Why it works: the table is checked every 64 requests, so it exceeds its limit by 64 records at most.

Test: NodeFunctionMemoryTest failed before (49,888 kB more with 4,000 functions and 500 servers, where 32,768 are allowed); it asks 3,200 now, for the time it takes sanitized. FunctionTable's own tests are of the new limit.

--- a/src/node/configuration.cpp
+++ b/src/node/configuration.cpp
@@ -13,6 +13,15 @@
 constexpr std::size_t min_sockets =
     32;  // file descriptors; fewer leave too few connections to serve requests
 
+constexpr std::size_t bytes_per_mb = 1024 * 1024;
+// Share of the memory limit for what the routing policy knows of functions. Half of the limit is for buffers
+// (core::MemoryBudgets).
+constexpr double function_memory_share = 0.1875;
+
+std::size_t function_memory_of(std::size_t memory_mb) {
+  return static_cast<std::size_t>(static_cast<double>(memory_mb * bytes_per_mb) * function_memory_share);
+}
+
 std::string address_field(const settings::Fields& fields, const char* name) {
   std::string text = fields.text(name);
   try {
@@ -59,6 +68,7 @@
   const std::int64_t memory = limits.whole("memory_mb", 0);
   configuration.memory_mb = memory > 0 ? static_cast<std::size_t>(memory) : 0;
   configuration.routing = settings::read_deployment(fields.object("settings"));
+  configuration.routing.function_memory_bytes = function_memory_of(configuration.memory_mb);
   if (configuration.routing.reports.gossip) {
     configuration.peer_listen = address_field(fields, "peer_listen");
     configuration.peers = fields.texts("peers");
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -68,6 +68,7 @@
   std::string location{};
   Duration tick{};             // shortest interval between two deliveries of messages to the router
   int open_request_limit = 0;  // 0 for no limit
+  std::size_t function_memory_bytes = 0;  // for what is known of functions; 0 for no limit
   std::vector<RequestClass> request_classes;
   std::vector<Tenant> tenants;
   double over_quota_value = 1;  // value of a request beyond its tenant's quota relative to one within it
--- a/src/routing/function_table.h
+++ b/src/routing/function_table.h
@@ -1,7 +1,10 @@
 // The recently requested functions, with the state that each part of the policy keeps for them.
 #pragma once
 
+#include <cstddef>
 #include <map>
+#include <utility>
+#include <vector>
 
 #include "routing/latency_estimates.h"
 #include "routing/placement.h"
@@ -19,9 +22,20 @@
   WarmIndex copies;
 };
 
-// The function records by id.
+// The function records by id. Clients may name any number of functions, so the table is limited by its
+// memory: what the least recently requested functions take is given up first, and of that the candidates,
+// which can be ranked anew, before the record itself.
 class FunctionTable {
  public:
+  // `max_bytes`: about the most that the records take; 0 for no limit.
+  explicit FunctionTable(std::size_t max_bytes = 0) : max_bytes_(max_bytes) {}
+
+  // Keeps the limit; to be called before a function is added, while no reference to a record is held.
+  void make_room();
+  // An estimate of what the records take.
+  std::size_t memory_bytes() const;
+  std::size_t size() const { return functions_.size(); }
+
   // Returns the function's record and adds it if there is none.
   FunctionRecord& at(const FunctionId& id) { return functions_[id]; }
 
@@ -32,7 +46,13 @@
   void sweep(Timestamp now, Duration keep_alive);
 
  private:
-  std::map<FunctionId, FunctionRecord> functions_;
+  using Functions = std::map<FunctionId, FunctionRecord>;
+
+  std::vector<Functions::iterator> by_age();
+
+  Functions functions_;
+  std::size_t max_bytes_;
+  int calls_since_check_ = 0;           // of make_room()
   std::int64_t last_sweep_second_ = 0;  // clock reading of the last sweep, in whole seconds
 };
 
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -34,6 +34,7 @@
 
 void Placement::collect_candidates(const FunctionId& id, FunctionPlacement& function) const {
   function.candidates_.clear();
+  function.candidates_.reserve(endpoints_.records().size());
   for (auto& [endpoint, record] : endpoints_.records()) {
     if (!record.may_receive()) continue;
     const double distance = -std::log(rendezvous_hash({.key = id, .endpoint = endpoint}));
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -6,6 +6,7 @@
 // entries in this router's own index have expired.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 #include <vector>
@@ -32,6 +33,15 @@
   // Returns the number of first candidates at which the requests of all routers keep a copy loaded.
   int replicas() const { return replicas_; }
 
+  std::size_t memory_bytes() const { return candidates_.capacity() * sizeof(Candidate); }
+  // Frees the candidates, which are ranked anew when they are needed. Returns the bytes freed.
+  std::size_t release_candidates() {
+    const std::size_t bytes = memory_bytes();
+    candidates_ = {};
+    ranked_version_ = 0;
+    return bytes;
+  }
+
  private:
   friend class Placement;
 
--- a/src/routing/routing_parts.cpp
+++ b/src/routing/routing_parts.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 RoutingParts::RoutingParts(const RoutingConfiguration& settings, std::uint64_t seed, RoutingHost& router)
-    : configuration(settings), host(router), random(seed),
+    : configuration(settings), host(router), random(seed), functions(configuration.function_memory_bytes),
       estimates(configuration.request_classes, observation), outliers(observation),
       load_budget(load_budget_limits(configuration)),
       tenant_quotas(configuration.tenants, configuration.routers),
--- a/src/routing/routing_policy.cpp
+++ b/src/routing/routing_policy.cpp
@@ -174,6 +174,7 @@
   }
 
   void record_function_request(Timestamp now, const RoutingRequest& request) {
+    parts_.functions.make_room();
     routing::FunctionRecord& function = parts_.functions.at(request.function);
     function.lanes = std::max(request.lanes, 1.0);
     function.requested_at = now;
--- a/src/routing/warm_index.h
+++ b/src/routing/warm_index.h
@@ -1,8 +1,11 @@
 // Index of the endpoints that are believed to hold a copy of a function (docs/design.md, "Index").
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <utility>
 
 #include "routing/believed_copy.h"
 #include "routing/endpoint_table.h"
@@ -24,9 +27,21 @@
   // Erases the copies that are no longer believed in.
   void sweep(Timestamp now, Duration keep_alive);
 
+  // Whether an attempt or a prewarm order of this router is open at any copy.
+  bool in_use() const {
+    return std::ranges::any_of(copies_, [](const auto& item) {
+      return item.second.open_attempts() > 0 || item.second.prewarming();
+    });
+  }
   std::size_t size() const { return copies_.size(); }
+  // An estimate of what the entries take.
+  std::size_t memory_bytes() const { return copies_.size() * entry_bytes; }
 
  private:
+  static constexpr std::size_t map_node_bytes =
+      64;  // of the tree and the allocator, and an id of the usual size
+  static constexpr std::size_t entry_bytes = map_node_bytes + sizeof(std::pair<EndpointId, BelievedCopy>);
+
   std::map<EndpointId, BelievedCopy> copies_;
 };
 
--- a/tests/node/memory_limit_test.cpp
+++ b/tests/node/memory_limit_test.cpp
@@ -15,8 +15,9 @@
 constexpr int clients_count = 100;
 constexpr int requests_per_connection = 32;      // that may be open at once
 constexpr std::size_t largest_body = 16 * 1024;  // bytes
-constexpr Time observation_time = 30'000;        // tenths of a millisecond; longer than a request is open
-constexpr Time answer_within = 30'000;           // likewise
+constexpr int many_endpoints = 500;
+constexpr int made_up_functions = 3'200;
+constexpr Time observation_time = 30'000;  // tenths of a millisecond; longer than a request is open
 // Sanitizers: memory that is freed is used again, as without them.
 constexpr const char* without_quarantine = "quarantine_size_mb=0:thread_local_quarantine_size_kb=0";
 
@@ -60,6 +61,46 @@
   transport::Address address = process.address();
 };
 
+std::string many_hosts(const std::string& address) {
+  std::string hosts;
+  for (int i = 0; i < many_endpoints; ++i)
+    hosts += (i == 0 ? "" : ",") + host("s" + std::to_string(i), address, "active", 0, "64");
+  return hosts;
+}
+
+// Guards against a routing policy that keeps what it knows of every function that clients make up: with many
+// endpoints that is kilobytes for each.
+class NodeFunctionMemoryTest : public PlatformTest {
+ protected:
+  NodeFunctionMemoryTest() {
+    server1.on_bytes = [](RawPeer& peer) { answer_all_requests(peer); };
+  }
+  static Settings settings() {
+    Settings result;
+    result.memory_limit_mb = std::to_string(memory_limit_mb);
+    return result;
+  }
+  NodeProcess process{configuration(settings(), discovery.address(), many_hosts(server1.address())),
+                      {{"ASAN_OPTIONS", without_quarantine}}};
+  transport::Address address = process.address();
+};
+
+TEST_F(NodeFunctionMemoryTest, StaysUnderItsLimitWhileClientsNameNewFunctions) {
+  TestClient client(address);
+  client.send(invoke_request(1, request_id(1)));
+  ASSERT_TRUE(succeeds(client));
+  const long before_kb = process.anonymous_memory_kb();
+  for (int sent = 0; sent < made_up_functions; sent += requests_per_connection) {
+    TestClient next(address);
+    for (int number = 1; number <= requests_per_connection; ++number) {
+      const std::string id = request_id(2 + sent + number);
+      next.send(invoke_request(static_cast<fastcgi::Number>(number), id, {.function = id}));
+    }
+    ASSERT_TRUE(driver.until([&] { return count_in(next.seen(), "Status: ") == requests_per_connection; }));
+  }
+  EXPECT_LT(process.anonymous_memory_kb() - before_kb, memory_limit_mb * kb_per_mb);
+}
+
 // What sanitizers need of their own is there before the clients come, so the growth is compared.
 TEST_F(NodeMemoryLimitTest, StaysUnderItsLimitWhileAHundredClientsSendTheLargestRequests) {
   raise_descriptors();
--- a/tests/routing/function_table_test.cpp
+++ b/tests/routing/function_table_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <string>
+
 namespace rushhill::routing {
 namespace {
 
@@ -46,6 +49,40 @@
   EXPECT_EQ(functions.at("f").lanes, 1);
 }
 
+// Guards against a table that grows with every id that a client makes up.
+TEST(FunctionTable, KeepsItsMemoryLimitAndTheFunctionsRequestedLast) {
+  constexpr std::size_t max_bytes = 256 * 1024;
+  constexpr int distinct_functions = 20'000;
+  FunctionTable functions(max_bytes);
+  std::size_t most_bytes = 0;
+  for (int i = 0; i < distinct_functions; ++i) {
+    functions.make_room();
+    functions.at(std::to_string(i)).requested_at = now + Duration{i};
+    functions.make_room();
+    functions.at("hot").requested_at = now + Duration{i};
+    functions.at("hot").lanes = 4;
+    most_bytes = std::max(most_bytes, functions.memory_bytes());
+  }
+  EXPECT_LE(most_bytes, max_bytes + max_bytes / 8) << "a check is made every 64 functions";
+  EXPECT_GT(functions.memory_bytes(), max_bytes / 2);
+  EXPECT_EQ(functions.at("hot").lanes, 4);
+}
+
+TEST(FunctionTable, GivesUpCandidatesBeforeRecordsAndKeepsFunctionsInUse) {
+  constexpr int distinct_functions = 1'000;
+  constexpr std::size_t max_bytes = 64 * 1024;  // far less than the records take
+  FunctionTable functions(max_bytes);
+  functions.at("open").copies.at("a").attempt_sent(now, keep_alive);
+  functions.at("ordered").copies.at("a").prewarm_ordered();
+  for (int i = 0; i < distinct_functions; ++i) {
+    functions.make_room();
+    functions.at(std::to_string(i)).requested_at = now + Duration{i};
+  }
+  EXPECT_EQ(functions.at("open").copies.at("a").open_attempts(), 1);
+  EXPECT_TRUE(functions.at("ordered").copies.at("a").prewarming());
+  EXPECT_LT(functions.size(), static_cast<std::size_t>(distinct_functions));
+}
+
 TEST(WarmIndex, LinksTheEndpointsOnTheListToTheirCopies) {
   EndpointTable endpoints;
   endpoints.increment_version();
