Event loop: read busy clients in turns, so that they leave time for everything else

Cause: Loop::read_peers read up to 1 MiB of every connection that peers had opened, up to four times, before any timer ran. 1 MiB of small requests takes 50 to 100 ms, so an iteration took seconds, and after it the poll was too old for anything to be sent to a server.

Change: a connection is read up to 16 KiB an iteration. Those with more to read wait in a round robin and share 10 ms of each iteration; the others come first. What a busy connection has sent is then not wholly known, so the rule that all clients are read before anything is sent becomes one for each attempt: it starts only if its client's connection has been read to its end (Client::may_start_attempt).

Why it works: an iteration is bounded by 16 KiB a connection and 10 ms, whatever is sent, and an abort behind a megabyte of other requests still comes before any attempt that follows it.

A connection counts as read only when a later poll does not report it: first forms of the test and of the rule let an attempt out between two windows of the sender.

--- a/src/core/client.h
+++ b/src/core/client.h
@@ -26,6 +26,9 @@
   // one had accepted it before.
   virtual void duplicate(RequestId request) { failed(request); }
 
+  // Whether an attempt of the request may start now. It may not while the client may have cancelled the
+  // request or left, in bytes that wait to be read. Must not call the gateway.
+  virtual bool may_start_attempt(RequestId) const { return true; }
   // The first bytes of an attempt were sent. Called once per attempt; must not call the gateway.
   virtual void attempt_started(RequestId) {}
 };
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -94,6 +94,8 @@
 
 // Events from the upstream transport.
 
+bool Gateway::may_start_attempt(RequestId request) const { return lifecycle_.may_start_attempt(request); }
+
 void Gateway::attempt_started(RequestId request) { lifecycle_.attempt_started(request); }
 
 void Gateway::attempt_ended(RequestId request, int attempt_number, AttemptResult result) {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -34,7 +34,7 @@
 // its client cancels it.
 //
 // All calls must be made from the event loop's thread, and none from within a call to a Client or a port,
-// except UpstreamObserver::attempt_started().
+// except UpstreamObserver::may_start_attempt() and attempt_started().
 class Gateway final : public RoutingHost, public UpstreamObserver {
  public:
   // The interfaces through which the gateway reaches its surroundings. All of them must outlive the gateway.
@@ -94,6 +94,7 @@
   const RoutingConfiguration& configuration() const { return configuration_; }
 
   // UpstreamObserver
+  bool may_start_attempt(RequestId request) const override;
   void attempt_started(RequestId request) override;
   void attempt_ended(RequestId request, int attempt_number, AttemptResult result) override;
   void probe_ended(const EndpointId& endpoint, AttemptOutcome outcome, const LoadReport& report) override;
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -154,6 +154,11 @@
   env_.attempts.expire_attempts(id, *request);
 }
 
+bool RequestLifecycle::may_start_attempt(RequestId id) const {
+  const Request* request = env_.requests.find(id);
+  return request == nullptr || request->client == nullptr || request->client->may_start_attempt(id);
+}
+
 void RequestLifecycle::attempt_started(RequestId id) {
   const Request* request = env_.requests.find(id);
   if (request != nullptr && request->client != nullptr) request->client->attempt_started(id);
--- a/src/core/request_lifecycle.h
+++ b/src/core/request_lifecycle.h
@@ -60,6 +60,7 @@
   // Ends a request whose deadline has passed, or which is open when the router must terminate.
   void expire(RequestId id);
 
+  bool may_start_attempt(RequestId id) const;
   void attempt_started(RequestId id);
   void attempt_ended(RequestId id, int number, AttemptResult result);
 
--- a/src/core/upstream_transport.h
+++ b/src/core/upstream_transport.h
@@ -29,8 +29,12 @@
   UpstreamObserver& operator=(UpstreamObserver&&) = delete;
   virtual ~UpstreamObserver() = default;
 
-  // The first bytes of an attempt were sent. This is the only call that may be made from within a call to the
-  // transport.
+  // These two are the only calls that may be made from within a call to the transport.
+  //
+  // Whether an attempt of the request may start now. If not, the transport sends no byte of it and asks again
+  // soon.
+  virtual bool may_start_attempt(RequestId) const { return true; }
+  // The first bytes of an attempt were sent.
   virtual void attempt_started(RequestId) {}
   virtual void attempt_ended(RequestId request, int attempt_number, AttemptResult result) = 0;
   virtual void probe_ended(const EndpointId& endpoint, AttemptOutcome outcome, const LoadReport& report) = 0;
--- a/src/frontends/fastcgi_connection.h
+++ b/src/frontends/fastcgi_connection.h
@@ -80,6 +80,7 @@
   void broken(const char* why) override;
 
   // core::Client
+  bool may_start_attempt(RequestId) const override { return !stream_->is_reading_delayed(); }
   void attempt_started(RequestId request_id) override;
   void succeeded(RequestId request_id, events::CloudEvent answer) override;
   void rejected(RequestId request_id, Duration retry_after) override;
--- a/src/frontends/http_connection.h
+++ b/src/frontends/http_connection.h
@@ -36,6 +36,7 @@
   bool has_no_unread_input() const;
   // Whether something of the client, or its leaving, stands unread.
   bool has_unread_input() const { return stream_->peek() != transport::Stream::Peeked::nothing; }
+  bool is_reading_delayed() const { return stream_->is_reading_delayed(); }
   // How long ago the present request arrived. It may have waited in the system, because this process was
   // slow, or behind another request of its connection.
   Time request_age() const { return reactor_.now() - input_arrived_; }
--- a/src/frontends/http_exchange.cpp
+++ b/src/frontends/http_exchange.cpp
@@ -32,6 +32,7 @@
 void HttpFront::Exchange::on_input_read() {
   if (unread_ > 0 && !connection_.has_unread_input()) unread_ = 0;
 }
+bool HttpFront::Exchange::may_start_attempt(RequestId) const { return !connection_.is_reading_delayed(); }
 void HttpFront::Exchange::attempt_started(RequestId) {
   if (connection_.has_unread_input()) ++unread_;
 }
--- a/src/frontends/http_exchange.h
+++ b/src/frontends/http_exchange.h
@@ -29,6 +29,7 @@
   // Something that stood unread has been read.
   void on_input_read();
 
+  bool may_start_attempt(RequestId request_id) const override;
   void attempt_started(RequestId request_id) override;
   void succeeded(RequestId request_id, events::CloudEvent reply) override;
   void rejected(RequestId request_id, Duration retry_after) override;
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -10,6 +10,8 @@
 // Bytes; twice the limit of the front end, because endpoints add header fields.
 constexpr std::uint32_t response_head_limit = 32 * 1024;
 
+constexpr Time start_check_interval = 50;  // tenths of a millisecond; while an attempt may not start
+
 constexpr int first_final_status = 200;  // lower status codes are interim responses
 
 }  // namespace
@@ -49,15 +51,30 @@
   handed_over_before_ = stream_->handed_over_bytes();
   sent_at_ = reactor_.now();
   response_started_ = false;
+  if (!may_start()) {
+    timer_ = reactor_.at(reactor_.now() + start_check_interval, [this] { send(); });
+    return;
+  }
   if (exchange_->call.expires_at > 0)
     timer_ = reactor_.at(exchange_->call.expires_at, [this] { fail_exchange(AttemptOutcome::unanswered); });
-  const std::string bytes = std::move(exchange_->bytes);
-  stream_->write(bytes);
+  stream_->write(exchange_->bytes);
   report_started();
 }
 
+// Whether the exchange may start is asked again, since its bytes had to wait.
+void HttpConnection::on_deferred_send() {
+  if (exchange_ && unsent() && stream_->cancel_unsent(handed_over_before_, stream_->pending_bytes())) send();
+}
+
+bool HttpConnection::may_start() const {
+  return exchange_->call.kind != UpstreamCallKind::attempt ||
+         owner_.may_start_attempt(exchange_->call.request);
+}
+
 void HttpConnection::report_started() {
-  if (!exchange_ || exchange_->call.kind != UpstreamCallKind::attempt || unsent()) return;
+  if (!exchange_ || unsent()) return;
+  exchange_->bytes.clear();
+  if (exchange_->call.kind != UpstreamCallKind::attempt) return;
   if (!std::exchange(exchange_->started, true)) owner_.attempt_started(exchange_->call.request);
 }
 
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -21,7 +21,7 @@
 // One request and its response.
 struct HttpExchange {
   UpstreamCall call{};
-  std::string bytes{};   // the request; empty once it has been written
+  std::string bytes{};   // the request; empty once the system has taken some of it
   bool started = false;  // whether the system has taken bytes of the request
 };
 
@@ -42,6 +42,8 @@
   HttpConnectionOwner& operator=(HttpConnectionOwner&&) = delete;
   virtual ~HttpConnectionOwner() = default;
 
+  // Whether an attempt may start now; if not, it is asked for again soon.
+  virtual bool may_start_attempt(RequestId request) const = 0;
   // The system has taken the first bytes of an attempt.
   virtual void attempt_started(RequestId request) = 0;
   // The connection is ready for the next exchange.
@@ -89,12 +91,14 @@
   void close();
 
   void on_connected() override { send(); }
+  void on_deferred_send() override;
   void on_write_drained() override { report_started(); }
   void on_data(std::string_view bytes) override;
   void on_closed(CloseReason reason) override;
 
  private:
   void send();
+  bool may_start() const;
   void report_started();
   void finish_exchange(HttpResponse response);
   void become_idle();
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t nanoseconds_per_time_unit = 100'000;
 constexpr int stale_sleep_ms = 1;
 constexpr int max_reads = 4;  // of the connections that peers opened, in one iteration
+constexpr std::int64_t unread_peers_time_ns = 10'000'000;  // that they share in one iteration
 constexpr std::size_t buffer_bytes = 64 * 1024;
 
 // Keeps an address bound without listening on it.
@@ -97,7 +98,9 @@
 // else is reported.
 void Loop::read_peers(ReadySet& ready) {
   reading_clients_ = true;
+  unread_peers_.on_polled(ready);
   dispatch(ready, true);
+  read_unread_peers();
   for (int reads = 1; reads < max_reads && !deferred_streams_.empty() && last_poll_too_old(); ++reads) {
     const ReadySet more = poll_sources();
     dispatch(more, true);
@@ -110,17 +113,28 @@
   reading_clients_ = false;
 }
 
+void Loop::read_unread_peers() {
+  const std::int64_t end = monotonic_ns() + unread_peers_time_ns;
+  while (const auto id = unread_peers_.next()) {
+    EventSource* source = find_source(*id, true);
+    if (source != nullptr && source->interest_.readable) source->on_readable();
+    if (monotonic_ns() >= end) return;
+  }
+}
+
 bool Loop::last_poll_too_old() const { return now() - last_poll_at_ > max_poll_age; }
 
 bool Loop::may_send() const {
   return !reads_peers_before_sending || (!reading_clients_ && !last_poll_too_old());
 }
 
-// Skips sources that have been removed or have changed their interest since the poll.
+// Skips sources that have been removed or have changed their interest since the poll, and the reading of
+// those that wait for their turn.
 void Loop::dispatch(const ReadySet& ready, bool opened_by_peer) {
   for (const auto& [id, found] : ready) {
     EventSource* source = find_source(id, opened_by_peer);
-    if (found.readable && source != nullptr && source->interest_.readable) source->on_readable();
+    const bool is_readable = found.readable && !unread_peers_.waits(id);
+    if (is_readable && source != nullptr && source->interest_.readable) source->on_readable();
     source = find_source(id, opened_by_peer);
     if (found.writable && source != nullptr && source->interest_.writable) source->on_writable();
   }
@@ -160,7 +174,7 @@
 
 // Returns how long the loop may sleep. Rounds up, so that it does not wake before a timer is due and spin.
 int Loop::sleep_ms() const {
-  if (!posted_.empty() || !urgent_.empty() || !deferred_streams_.empty()) return 0;
+  if (!posted_.empty() || !urgent_.empty() || !deferred_streams_.empty() || !unread_peers_.empty()) return 0;
   const Time start = now();
   const Time latest = start + max_sleep;
   const Time wake = std::min(timers_.next_deadline().value_or(latest), latest);
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -1,12 +1,17 @@
 // The single-threaded event loop on sockets: a Poller, timers, and the byte streams, listeners and datagram
 // sockets that wait in it.
 //
-// Each iteration reads before it acts. It first reads the connections that peers opened until nothing is left
-// to read, so that a client's disconnect is known before work is started for that client. It then serves
-// listeners, datagram sockets and the connections that we opened, then timers that were due when it polled,
-// then posted calls, urgent ones first. So no timeout fires before an answer that arrived in time has been
-// read. Nothing is sent on a connection that we opened while those that peers opened are being read, or if
-// the last poll is too long ago. Bytes that wait for this reason can still be cancelled.
+// Each iteration reads before it acts. It first reads the connections that peers opened, so that a client's
+// disconnect is known before work is started for that client. It then serves listeners, datagram sockets and
+// the connections that we opened, then timers that were due when it polled, then posted calls, urgent ones
+// first. So no timeout fires before an answer that arrived in time has been read. Nothing is sent on a
+// connection that we opened while those that peers opened are being read, or if the last poll is too long
+// ago. Bytes that wait for this reason can still be cancelled.
+//
+// Peers that send faster than they are read must not hold up everything else. Each connection is read up to a
+// quantum in an iteration; those with more to read share a limited time, in turn (deficit round robin, with
+// new flows first, as in RFC 8290). What they have sent is not wholly known meanwhile: see
+// Stream::is_reading_delayed().
 #pragma once
 
 #include <atomic>
@@ -21,6 +26,7 @@
 #include "transport/poller.h"
 #include "transport/reactor.h"
 #include "transport/system_calls.h"
+#include "transport/unread_sources.h"
 
 namespace rushhill::transport {
 
@@ -85,12 +91,19 @@
   Time previous_poll_at() const { return previous_poll_at_; }
   // Calls the stream's send_deferred() once the connections that peers opened have been read.
   void defer_send(std::weak_ptr<SocketStream> stream) { deferred_streams_.push_back(std::move(stream)); }
+  // Lets the source read on when it is its turn again, because there is more to read. It is told so by
+  // on_readable(), in this iteration or the next one.
+  void continue_reading(const EventSource& source) { unread_peers_.add(source.registration_); }
+  bool may_hold_unread(const EventSource& source) const {
+    return unread_peers_.may_hold_unread(source.registration_);
+  }
   // One buffer for all reads; each read overwrites it.
   std::vector<char>& read_buffer() { return buffer_; }
 
  private:
   ReadySet poll_sources();
   void read_peers(ReadySet& ready);
+  void read_unread_peers();
   bool last_poll_too_old() const;
   void dispatch(const ReadySet& ready, bool opened_by_peer);
   EventSource* find_source(RegistrationId id, bool opened_by_peer) const;
@@ -116,6 +129,7 @@
   Backoff register_backoff_;
   Backoff connect_backoff_;
   std::vector<std::weak_ptr<SocketStream>> deferred_streams_;  // each stream once
+  UnreadSources unread_peers_;                                 // connections that peers opened
   std::int64_t polled_at_ns_ = monotonic_ns();                 // when the last poll returned
   Time last_poll_at_ = 0;         // when the last poll began; what was readable by then has been reported
   Time previous_poll_at_ = 0;     // its value in the previous iteration
--- a/src/transport/server_pool.cpp
+++ b/src/transport/server_pool.cpp
@@ -114,6 +114,8 @@
   return nullptr;
 }
 
+bool ServerPool::may_start_attempt(RequestId request) const { return observer().may_start_attempt(request); }
+
 void ServerPool::attempt_started(RequestId request) { observer().attempt_started(request); }
 
 void ServerPool::connection_idle(HttpConnection& connection) {
--- a/src/transport/server_pool.h
+++ b/src/transport/server_pool.h
@@ -48,6 +48,7 @@
   std::string address(const EndpointId& id) const;
 
  private:
+  bool may_start_attempt(RequestId request) const override;
   void attempt_started(RequestId request) override;
   void connection_idle(HttpConnection& connection) override;
   void connection_unusable(HttpConnection& connection) override;
--- a/src/transport/socket_stream.cpp
+++ b/src/transport/socket_stream.cpp
@@ -14,8 +14,9 @@
 namespace rushhill::transport {
 namespace {
 
-// Bytes read per iteration from a connection that a peer opened; enough for all its open requests.
-constexpr std::size_t max_iteration_bytes = 1024 * 1024;
+// Bytes read in one turn from a connection that a peer opened. Small requests of so many bytes take about a
+// millisecond.
+constexpr std::size_t quantum_bytes = 16 * 1024;
 constexpr int keepalive_idle_s = 5;      // without any data before the system sends the first probe
 constexpr int keepalive_interval_s = 1;  // between two probes
 constexpr int keepalive_probes = 3;      // unanswered probes that end the connection
@@ -130,6 +131,8 @@
 // Notifies the handler only if there were bytes waiting.
 void SocketStream::flush_and_notify() {
   const bool waited = !unsent_.empty();
+  if (waited) handler_->on_deferred_send();
+  if (closed()) return;
   flush();
   if (waited && unsent_.empty() && !closed()) handler_->on_write_drained();
 }
@@ -193,7 +196,8 @@
 }
 
 std::size_t SocketStream::max_read_bytes() const {
-  return std::min(loop_.max_io_bytes, loop_.read_buffer().size());
+  const std::size_t wanted_bytes = opened_by_peer() ? quantum_bytes : loop_.read_buffer().size();
+  return std::min(loop_.max_io_bytes, wanted_bytes);
 }
 
 void SocketStream::on_readable() {
@@ -205,6 +209,7 @@
   do {
     measure_unread_age();
     const auto got = receive(buffer.data(), max_bytes, 0);
+    if (got <= 0) arrived_after_.reset();
     if (got < 0 && would_block_or_interrupted(errno)) return;
     if (got < 0 && out_of_memory(errno)) return pause_reading();
     if (got < 0) return close_and_notify(CloseReason::reset);
@@ -212,16 +217,20 @@
     read_backoff_.record_success();
     read += static_cast<std::size_t>(got);
     handler_->on_data({buffer.data(), static_cast<std::size_t>(got)});
-  } while (opened_by_peer() && !closed() && wanted_.readable && read < max_iteration_bytes);
+    if (!opened_by_peer() || closed() || !wanted_.readable) return arrived_after_.reset();
+  } while (read < quantum_bytes);
+  loop_.continue_reading(*this);
 }
 
+bool SocketStream::is_reading_delayed() const { return !closed() && loop_.may_hold_unread(*this); }
+
 // Called before the bytes are read. Asks the system only if the loop polled so late that the bytes may have
 // waited. Its answer is capped at the time since the previous iteration's poll, before which they cannot have
 // arrived.
 void SocketStream::measure_unread_age() {
   const Time arrived_after =
       std::min(loop_.previous_poll_at(), arrived_after_.value_or(loop_.previous_poll_at()));
-  arrived_after_.reset();
+  if (opened_by_peer()) arrived_after_ = arrived_after;
   const Time max_age = loop_.now() - arrived_after;
   unread_age_ = max_age > negligible_age ? std::min(last_data_age(), max_age) : 0;
 }
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -47,6 +47,7 @@
   void close() override;
   void reset() override;
   bool closed() const override { return handler_ == nullptr; }
+  bool is_reading_delayed() const override;
   Time unread_age() const override { return unread_age_; }
   void keepalive() override;
 
@@ -79,8 +80,9 @@
   StreamHandler* handler_;
   SendBuffer unsent_;
   std::size_t handed_over_ = 0;
-  std::optional<Time>
-      arrived_after_;  // no byte arrived before; set until the first read of a peer's connection
+  // No unread byte arrived before; set until the first read of a peer's connection, and while there is more
+  // to read than its turns allow.
+  std::optional<Time> arrived_after_;
   Time unread_age_ = 0;
   bool established_ = false;
   bool shutdown_requested_ = false;
--- a/src/transport/stream.h
+++ b/src/transport/stream.h
@@ -37,7 +37,7 @@
   virtual ~StreamHandler() = default;
 
   virtual void on_connected() {}
-  // Bytes that waited until the loop had read its peers are about to be sent. They may be rewritten now.
+  // Bytes that had to wait are about to be sent. They may be rewritten now.
   virtual void on_deferred_send() {}
   // The system has taken all bytes that were waiting.
   virtual void on_write_drained() {}
@@ -72,6 +72,9 @@
   // Returns what can be read next, without reading it.
   enum class Peeked : std::uint8_t { nothing, bytes, end };
   virtual Peeked peek() = 0;
+  // Whether what the peer sent some time ago may be unread, because this connection had more to read than its
+  // turns allow.
+  virtual bool is_reading_delayed() const { return false; }
   // How long the bytes that are passed to on_data() had been waiting in the system, since the last of them
   // arrived. 0 if the system cannot tell, or if the loop polled only shortly before.
   virtual Time unread_age() const { return 0; }
--- a/src/upstream/line_connection.cpp
+++ b/src/upstream/line_connection.cpp
@@ -49,16 +49,15 @@
 
 void LineConnection::send(LineExchange exchange) {
   leave_idle();
-  const std::string bytes = encode_at_end(exchange);
   if (exchange.call.kind == transport::UpstreamCallKind::evict) {
     // An evict command has no answer.
     if (established_ && idle()) become_idle();
-    return stream_->write(bytes);
+    return stream_->write(encode_at_end(exchange));
   }
   remember_tag(exchange.tag);
   start_timer(exchange);
-  exchanges_.emplace(exchange.tag, std::move(exchange));
-  stream_->write(bytes);
+  const std::string tag = exchange.tag;
+  write_if_it_may_start(exchanges_.emplace(tag, std::move(exchange)).first->second);
   report_started_attempts();
   schedule_renewal();
   if (stream_->pending_bytes() > max_pending_bytes) retire();
@@ -256,6 +255,16 @@
   }
 }
 
+bool LineConnection::may_start(const LineExchange& exchange) const {
+  return !exchange.is_attempt() || owner_.may_start_attempt(exchange.call.request);
+}
+
+// An attempt that may not start stays out of the connection's bytes, where it would hold up those behind it.
+void LineConnection::write_if_it_may_start(LineExchange& exchange) {
+  exchange.offset = LineExchange::not_written;
+  if (may_start(exchange)) stream_->write(encode_at_end(exchange));
+}
+
 // Returns the exchange's bytes as of now and notes their position; the caller writes them next.
 std::string LineConnection::encode_at_end(LineExchange& exchange) {
   std::string bytes = exchange.bytes(reactor_.now());
@@ -267,9 +276,11 @@
 // Removes the exchange's bytes from those to be sent. Returns false if some of them have been sent.
 bool LineConnection::cancel_unsent_bytes(const LineExchange& exchange) {
   const std::size_t offset = exchange.offset;
+  if (offset == LineExchange::not_written) return true;
   if (!stream_->cancel_unsent(offset, exchange.size)) return false;
   for (auto& [tag, other] : exchanges_) {
-    if (other.offset > offset) other.offset -= exchange.size;
+    const bool is_behind = other.offset != LineExchange::not_written && other.offset > offset;
+    if (is_behind) other.offset -= exchange.size;
   }
   return true;
 }
@@ -288,14 +299,14 @@
 // Rewrites the unsent attempts, and ends those past their deadline. An attempt carries the time that its
 // client still waits, counted from when its bytes are sent. That may be long after they were written: the
 // connection is still being established, the system accepts no more bytes, or the loop reads from clients
-// first.
+// first. An attempt whose client is not known to wait still is not written.
 void LineConnection::renew_deadlines() {
   std::vector<std::string> expired;
   for (LineExchange* exchange : cancel_unsent_attempts()) {
     if (exchange->deadline <= reactor_.now()) {
       expired.push_back(exchange->tag);
     } else {
-      stream_->write(encode_at_end(*exchange));
+      write_if_it_may_start(*exchange);
     }
   }
   report_started_attempts();
--- a/src/upstream/line_connection.h
+++ b/src/upstream/line_connection.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,8 @@
 
 // One command and its answer.
 struct LineExchange {
+  static constexpr std::size_t not_written = std::numeric_limits<std::size_t>::max();
+
   transport::UpstreamCall call{};
   std::string tag{};      // the id that its answer begins with: the request's, or one made by the pool
   std::string command{};  // the bytes to send; unused for an attempt
@@ -33,7 +36,7 @@
   Time deadline = 0;                       // of an attempt: when its client stops waiting
   bool retried = false;         // whether it was already moved from a lost connection to another one
   bool started = false;         // whether the system has taken bytes of it
-  std::size_t offset = 0;       // number of bytes before it on its connection
+  std::size_t offset = not_written;  // number of bytes before it on its connection
   std::size_t size = 0;         // number of its own bytes on its connection
   core::Timer timer{};          // ends it as unanswered; not set for attempts
   core::MemoryCharge memory{};  // of an attempt: for its bytes until the system has taken some of them
@@ -62,6 +65,8 @@
   LineConnectionOwner& operator=(LineConnectionOwner&&) = delete;
   virtual ~LineConnectionOwner() = default;
 
+  // Whether an attempt may start now; if not, it is asked for again soon.
+  virtual bool may_start_attempt(RequestId request) const = 0;
   // The system has taken the first bytes of an attempt.
   virtual void attempt_started(RequestId request) = 0;
   // The exchange has been removed from its connection. One of the calls below follows, unless it was
@@ -140,6 +145,8 @@
   void report_started_attempts();
   bool has_started(const LineExchange& exchange) const;
   bool is_unsent(const LineExchange& exchange) const;
+  bool may_start(const LineExchange& exchange) const;
+  void write_if_it_may_start(LineExchange& exchange);
   std::string encode_at_end(LineExchange& exchange);
   bool cancel_unsent_bytes(const LineExchange& exchange);
   std::vector<LineExchange*> cancel_unsent_attempts();
--- a/src/upstream/line_pool.cpp
+++ b/src/upstream/line_pool.cpp
@@ -154,6 +154,8 @@
   return connection.get();
 }
 
+bool LinePool::may_start_attempt(RequestId request) const { return observer().may_start_attempt(request); }
+
 void LinePool::attempt_started(RequestId request) { observer().attempt_started(request); }
 
 void LinePool::exchange_detached(const LineExchange& exchange) { untrack_attempt(exchange.call); }
--- a/src/upstream/line_pool.h
+++ b/src/upstream/line_pool.h
@@ -56,6 +56,7 @@
     LineConnection* shared = nullptr;  // the busy one with the fewest exchanges
   };
 
+  bool may_start_attempt(RequestId request) const override;
   void attempt_started(RequestId request) override;
   void exchange_detached(const LineExchange& exchange) override;
   void exchange_answered(const LineExchange& exchange, line_protocol::Answer answer) override;
--- a/tests/transport/loop_test.cpp
+++ b/tests/transport/loop_test.cpp
@@ -5,6 +5,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <thread>
+#include <utility>
+
 #include "loopback.h"
 
 namespace rushhill::transport {
@@ -163,6 +166,45 @@
       pump.until([&] { return accepted.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ); }, 10'000));
 }
 
+// Guards against a loop that reads all that busy peers have sent before it does anything else: each of them
+// has sent far more than it is read in one turn, and reading a turn's bytes takes a millisecond.
+TEST(EventLoopIteration, FiresTimersAndReadsOthersWhileBusyPeersHaveMoreToRead) {
+  constexpr int busy_count = 8;
+  constexpr Time max_delay = 1'000;  // tenths of a millisecond; all that is sent takes far more
+  const std::string many_bytes(512 * 1024, 'b');
+  Loop reactor;
+  EventLoopDriver pump(reactor);
+  RawServer server(reactor);
+  std::vector<std::unique_ptr<TestClient>> busy;
+  for (int i = 0; i < busy_count; ++i) {
+    busy.push_back(std::make_unique<TestClient>(numeric_address(server.address())));
+  }
+  const TestClient usual(numeric_address(server.address()));
+  ASSERT_TRUE(pump.until([&] { return server.peers.size() == busy_count + 1; }));
+  std::size_t busy_bytes = 0;
+  Time usual_read_at = 0;
+  server.on_bytes = [&](RawPeer& peer) {
+    if (&peer == server.peers.back().get()) {
+      usual_read_at = reactor.now();
+      return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    busy_bytes += std::exchange(peer.seen, {}).size();
+  };
+  std::vector<std::thread> senders;
+  for (const auto& client : busy) senders.emplace_back([&] { client->send(many_bytes); });
+  pump.pass(100);
+  usual.send("x");
+  const Time sent = reactor.now();
+  Time fired = 0;
+  reactor.at(sent + 1, [&] { fired = reactor.now(); });
+  EXPECT_TRUE(pump.until([&] { return fired != 0 && usual_read_at != 0; }));
+  EXPECT_LT(fired - sent, max_delay);
+  EXPECT_LT(usual_read_at - sent, max_delay);
+  EXPECT_TRUE(pump.until([&] { return busy_bytes == busy_count * many_bytes.size(); })) << "all is read";
+  for (std::thread& sender : senders) sender.join();
+}
+
 TEST(EventLoopDriver, StopsALoopThatHasNeverRun) {
   Loop reactor;
   const EventLoopDriver pump{reactor};
--- a/tests/transport/server_pool_test.cpp
+++ b/tests/transport/server_pool_test.cpp
@@ -15,6 +15,7 @@
     "rushhill-copy: found\r\ncontent-length: 4\r\n\r\ndata";
 
 struct RecordingObserver final : core::UpstreamObserver {
+  bool may_start_attempt(RequestId request) const override { return request != held_back; }
   void attempt_ended(RequestId request, int, core::AttemptResult result) override {
     requests.push_back(request);
     attempts.push_back(std::move(result));
@@ -29,6 +30,7 @@
     copies = loaded_copies;
   }
   std::vector<RequestId> requests;
+  RequestId held_back = 0;  // whose attempts may not start
   std::vector<core::AttemptResult> attempts;
   std::vector<AttemptOutcome> probes, prewarms;
   LoadReport report;
@@ -82,6 +84,17 @@
   EXPECT_EQ(observer.attempts.size(), attempts);
 }
 
+// Guards against attempts for a client whose leaving is not known yet, because what it sent waits to be read.
+TEST_F(ServerPoolTest, AttemptThatMayNotStartWaits) {
+  observer.held_back = 1;
+  send_attempt(1);
+  pump.pass(500);
+  ASSERT_EQ(server.peers.size(), 1U);
+  EXPECT_EQ(server.peers[0]->seen, "");
+  observer.held_back = 0;
+  EXPECT_TRUE(pump.until([&] { return is_complete_request(server.peers[0]->seen); }));
+}
+
 TEST_F(ServerPoolTest, ExchangesSucceedWithOneBytePerReadAndWrite) {
   reactor.max_io_bytes = 1;
   server.on_bytes = [&](RawPeer& peer) {
--- a/tests/upstream/line_pool_test.cpp
+++ b/tests/upstream/line_pool_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 struct RecordingObserver final : core::UpstreamObserver {
+  bool may_start_attempt(RequestId request) const override { return request != held_back; }
   void attempt_ended(RequestId request, int attempt_number, core::AttemptResult result) override {
     attempts.push_back({request, attempt_number, result.outcome, result.reply.data});
   }
@@ -29,6 +30,7 @@
     std::string data;
   };
   std::vector<EndedAttempt> attempts;
+  RequestId held_back = 0;  // whose attempts may not start
   std::vector<AttemptOutcome> probes, prewarms;
   LoadReport report;
   int copies = 0;
@@ -53,6 +55,13 @@
   bool wait_for_attempts(std::size_t count) {
     return driver.until([&] { return observer.attempts.size() >= count; });
   }
+  bool has_received_anywhere(const std::string& text) const {
+    return std::ranges::any_of(server.peers,
+                               [&](const auto& peer) { return peer->seen.find(text) != std::string::npos; });
+  }
+  bool server_received_anywhere(const std::string& text) {
+    return driver.until([&] { return has_received_anywhere(text); });
+  }
   bool server_received(std::size_t peer, const std::string& text) {
     return driver.until([&] {
       return server.peers.size() > peer && server.peers[peer]->seen.find(text) != std::string::npos;
@@ -168,6 +177,29 @@
       << "a lack of connections is not a failure of the server";
 }
 
+// Guards against attempts for a client whose leaving is not known yet, because what it sent waits to be read.
+TEST_F(LinePoolTest, AttemptThatMayNotStartWaitsAndHoldsUpNoOther) {
+  observer.held_back = 1;
+  send_attempt(1);
+  send_attempt(2);
+  ASSERT_TRUE(server_received_anywhere("id2"));
+  driver.pass(500);
+  EXPECT_FALSE(has_received_anywhere("id1"));
+  observer.held_back = 0;
+  EXPECT_TRUE(server_received_anywhere("id1"));
+}
+
+TEST_F(LinePoolTest, AttemptThatMayNotStartCanBeCancelled) {
+  observer.held_back = 1;
+  send_attempt(1);
+  driver.pass(100);
+  EXPECT_TRUE(pool.cancel_unsent(1, 0));
+  observer.held_back = 0;
+  driver.pass(500);
+  EXPECT_FALSE(has_received_anywhere("id1"));
+  EXPECT_TRUE(observer.attempts.empty());
+}
+
 TEST_F(LinePoolTest, RefusedConnectionEndsAsConnectFailed) {
   pool.set_address("a", "127.0.0.1:1");
   send_attempt(1);
