Buffers: free the memory of what is empty; charges may outlive their budget

Cause: assigning {} to a string or vector keeps its memory. SendBuffer, the reader of servers' answers, attempts under way and FunctionPlacement did so.

The bytes in use are owned by budget and charges together.

--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <limits>
+#include <memory>
 #include <utility>
 
 namespace rushhill::core {
@@ -25,31 +26,35 @@
 
   // Whether a holder that holds `held` bytes may hold `more` bytes in addition.
   bool admits(std::size_t held, std::size_t more) const {
-    const std::size_t free = limit_ - std::min(used_, limit_);
+    const std::size_t free = limit_ - std::min(*used_, limit_);
     return more <= free && held <= free - more;
   }
   std::size_t limit_bytes() const { return limit_; }
-  std::size_t used_bytes() const { return used_; }
+  std::size_t used_bytes() const { return *used_; }
 
  private:
   friend class MemoryCharge;
 
   std::size_t limit_;
-  std::size_t used_ = 0;
+  std::shared_ptr<std::size_t> used_ = std::make_shared<std::size_t>(0);  // shared with the charges
 };
 
-// The bytes that one buffer is charged for; released when the charge is destroyed. The budget must outlive
-// it.
+// The bytes that one buffer is charged for; released when the charge is destroyed. It may outlive the budget,
+// as a connection may outlive the router.
 class MemoryCharge {
  public:
   MemoryCharge() = default;  // charged to no budget
-  explicit MemoryCharge(MemoryBudget* budget, std::size_t bytes = 0) : budget_(budget) { resize(bytes); }
+  // Charged to no budget if `budget` is null.
+  explicit MemoryCharge(const MemoryBudget* budget, std::size_t bytes = 0)
+      : used_(budget == nullptr ? nullptr : budget->used_) {
+    resize(bytes);
+  }
   MemoryCharge(const MemoryCharge&) = delete;
   MemoryCharge& operator=(const MemoryCharge&) = delete;
   MemoryCharge(MemoryCharge&& other) noexcept
-      : budget_(std::exchange(other.budget_, nullptr)), bytes_(std::exchange(other.bytes_, 0)) {}
+      : used_(std::exchange(other.used_, nullptr)), bytes_(std::exchange(other.bytes_, 0)) {}
   MemoryCharge& operator=(MemoryCharge&& other) noexcept {
-    std::swap(budget_, other.budget_);
+    std::swap(used_, other.used_);
     std::swap(bytes_, other.bytes_);
     return *this;
   }
@@ -57,14 +62,14 @@
 
   // Charges `bytes` from now on, whether or not the budget admits them.
   void resize(std::size_t bytes) {
-    if (budget_ == nullptr) return;
-    budget_->used_ = budget_->used_ - bytes_ + bytes;
+    if (used_ == nullptr) return;
+    *used_ = *used_ - bytes_ + bytes;
     bytes_ = bytes;
   }
   std::size_t bytes() const { return bytes_; }
 
  private:
-  MemoryBudget* budget_ = nullptr;
+  std::shared_ptr<std::size_t> used_;
   std::size_t bytes_ = 0;
 };
 
--- a/src/frontends/http_connection.cpp
+++ b/src/frontends/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/idle_buffer.h"
 #include "frontends/http_problem.h"
 
 namespace rushhill::frontends {
@@ -67,7 +68,7 @@
   // Reading goes on, since nothing else shows that the client leaves. What is not kept is not taken, and
   // the connection ends after the present answer, which says so.
   keep_alive_ = false;
-  input_ = {};
+  core::clear_buffer(input_);
 }
 void HttpFront::Connection::on_write_drained() {
   requests_.handed_over(stream_->handed_over_bytes());
--- a/src/line_protocol/answers.cpp
+++ b/src/line_protocol/answers.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "core/idle_buffer.h"
+
 namespace rushhill::line_protocol {
 namespace {
 
@@ -93,7 +95,7 @@
     if (end == std::string_view::npos && unread.size() <= bounds_.line) return Progress::more;
     if (end == std::string_view::npos || end > bounds_.line || !read_line(unread.substr(0, end))) {
       malformed_ = true;
-      input_ = {};
+      core::clear_buffer(input_);
       return Progress::bad;
     }
     offset_ += end + 2;
@@ -103,15 +105,18 @@
   if (unread.substr(body_length_, 2) != "\r\n") {
     malformed_ = true;
     malformed_id_ = answer_->id;
-    input_ = {};
+    core::clear_buffer(input_);
     return Progress::bad;
   }
   answer_->body = unread.substr(0, body_length_);
   offset_ += body_length_ + 2;
   answer = std::move(*answer_);
   answer_.reset();
-  // Frees the buffer, so that an idle connection holds no memory.
-  if (offset_ >= input_.size()) input_ = {}, offset_ = 0;
+  // Frees the buffer, so that an idle connection holds little memory.
+  if (offset_ >= input_.size()) {
+    core::clear_buffer(input_);
+    offset_ = 0;
+  }
   return Progress::answer;
 }
 
--- a/src/line_protocol/answers.h
+++ b/src/line_protocol/answers.h
@@ -37,7 +37,7 @@
   void put(std::string_view bytes);
   Progress next(Answer& answer);
   // Bytes that are held for answers that are incomplete or not extracted.
-  std::size_t held_bytes() const { return input_.size(); }
+  std::size_t held_bytes() const { return input_.capacity(); }
   // Returns whether no part of a further answer has been received.
   bool is_between_answers() const { return offset_ >= input_.size() && !answer_; }
   // Returns the id of the malformed answer, or an empty string if its id could not be read.
@@ -61,6 +61,10 @@
   std::string after_deadline{};
   std::string text(Time left) const;  // `left` in tenths of a millisecond
   std::size_t size() const { return before_deadline.size() + after_deadline.size(); }
+  void swap(Invocation& other) noexcept {
+    before_deadline.swap(other.before_deadline);
+    after_deadline.swap(other.after_deadline);
+  }
 };
 
 // `idempotency_key` lets a server run the request only once; it is empty if the request has none.
--- a/src/routing/placement.h
+++ b/src/routing/placement.h
@@ -37,7 +37,8 @@
   // Frees the candidates, which are ranked anew when they are needed. Returns the bytes freed.
   std::size_t release_candidates() {
     const std::size_t bytes = memory_bytes();
-    candidates_ = {};
+    candidates_.clear();
+    candidates_.shrink_to_fit();
     ranked_version_ = 0;
     return bytes;
   }
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/idle_buffer.h"
 #include "transport/idle_close.h"
 
 namespace rushhill::transport {
@@ -73,7 +74,7 @@
 
 void HttpConnection::report_started() {
   if (!exchange_ || unsent()) return;
-  exchange_->bytes.clear();
+  core::clear_buffer(exchange_->bytes);
   if (exchange_->call.kind != UpstreamCallKind::attempt) return;
   if (!std::exchange(exchange_->started, true)) owner_.attempt_started(exchange_->call.request);
 }
--- a/src/transport/send_buffer.h
+++ b/src/transport/send_buffer.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/idle_buffer.h"
+
 namespace rushhill::transport {
 
 // A queue of bytes that are appended at its end and sent from its front. Sent bytes are removed only once
@@ -14,6 +16,8 @@
  public:
   bool empty() const { return size() == 0; }
   std::size_t size() const { return bytes_.size() - sent_; }
+  // Bytes of memory that it takes.
+  std::size_t capacity() const { return bytes_.capacity(); }
   // The unsent bytes. The view is valid until the buffer changes.
   std::string_view pending() const { return std::string_view(bytes_).substr(sent_); }
 
@@ -33,7 +37,7 @@
   }
   // Removes all bytes.
   void clear() {
-    bytes_ = {};
+    core::clear_buffer(bytes_);
     sent_ = 0;
   }
 
--- a/src/upstream/line_connection.cpp
+++ b/src/upstream/line_connection.cpp
@@ -249,8 +249,8 @@
   for (auto& [tag, exchange] : exchanges_) {
     if (!has_started(exchange)) continue;
     if (std::exchange(exchange.started, true)) continue;
-    exchange.invocation = {};  // never to be sent again
-    exchange.memory = {};
+    line_protocol::Invocation().swap(exchange.invocation);  // never to be sent again
+    exchange.memory.resize(0);
     owner_.attempt_started(exchange.call.request);
   }
 }
--- a/tests/fastcgi/records_test.cpp
+++ b/tests/fastcgi/records_test.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 struct RecordingObserver final : Taker {
+  bool may_hold(std::size_t bytes) override { return bytes <= free_bytes; }
   void request(Number number, Request request) override { requests.emplace_back(number, std::move(request)); }
   void refused(Number number, Refusal reason, bool) override { refusals.emplace_back(number, reason); }
   void aborted(Number number, bool complete) override { aborts.emplace_back(number, complete); }
@@ -20,6 +21,7 @@
   std::vector<std::string> variable_names;
   int unhandled_type = 0;
   std::string fault;
+  std::size_t free_bytes = SIZE_MAX;
 };
 
 struct RecordReaderTest : testing::Test {
@@ -157,6 +159,31 @@
   }
 }
 
+// The client has sent the whole request before it learns of the refusal, which is no fault of its own.
+TEST_F(RecordReaderTest, RefusesWhatThereIsNoMemoryForAndReadsOn) {
+  Request large = sample;
+  large.body = std::string(std::size_t{16} * 1024, 'b');
+  observer.free_bytes = 1'000;
+  constexpr int refused_requests = 40;  // with more bytes than may be ignored for any other reason
+  for (int i = 1; i <= refused_requests; ++i) reader.put(write_request(static_cast<Number>(i), large), 0);
+  EXPECT_EQ(observer.refusals.size(), static_cast<std::size_t>(refused_requests));
+  for (const auto& [number, reason] : observer.refusals) EXPECT_EQ(reason, Refusal::no_memory);
+  EXPECT_EQ(reader.held_bytes(), 0U);
+  observer.free_bytes = SIZE_MAX;
+  reader.put(write_request(1, large), 0);
+  ASSERT_EQ(observer.requests.size(), 1U);
+  EXPECT_EQ(observer.requests[0].second.body, large.body);
+  EXPECT_EQ(observer.fault, "");
+}
+
+TEST_F(RecordReaderTest, RefusesMoreParametersThanARequestMayHave) {
+  Request many = sample;
+  for (std::size_t i = 0; i < Bounds{}.pairs; ++i) many.params.emplace_back("N", "");
+  reader.put(write_request(1, many), 0);
+  ASSERT_EQ(observer.refusals.size(), 1U);
+  EXPECT_EQ(observer.refusals[0].second, Refusal::params_unreadable);
+}
+
 TEST(NameValuePairs, AreReadBackWithEitherLengthForm) {
   const std::vector<std::pair<std::string, std::string>> pairs{
       {"a", ""}, {std::string(127, 'n'), std::string(128, 'v')}, {std::string(70'000, 'x'), "y"}};
--- a/tests/routing/function_table_test.cpp
+++ b/tests/routing/function_table_test.cpp
@@ -72,6 +72,7 @@
   constexpr int distinct_functions = 1'000;
   constexpr std::size_t max_bytes = 64 * 1024;  // far less than the records take
   FunctionTable functions(max_bytes);
+  EXPECT_EQ(functions.memory_bytes(), 0U);
   functions.at("open").copies.at("a").attempt_sent(now, keep_alive);
   functions.at("ordered").copies.at("a").prewarm_ordered();
   for (int i = 0; i < distinct_functions; ++i) {
--- a/tests/transport/send_buffer_test.cpp
+++ b/tests/transport/send_buffer_test.cpp
@@ -26,6 +26,14 @@
   EXPECT_EQ(buffer.pending(), "");
 }
 
+// Guards against idle connections that keep the memory of the largest message that they have carried.
+TEST(SendBuffer, KeepsLittleMemoryOnceItIsEmpty) {
+  SendBuffer buffer;
+  buffer.append(std::string(100'000, 'a'));
+  buffer.consume(100'000);
+  EXPECT_LE(buffer.capacity(), core::max_idle_buffer_bytes);
+}
+
 TEST(SendBuffer, ErasesWithinUnsentBytes) {
   SendBuffer buffer;
   buffer.append("abcdef");
