Attempts: compare the time of idempotency keys when the bytes leave, not only when chosen

Cause: RetryPolicy compares the time when it chooses an attempt. Until then only the client's deadline was compared again, and not where a server began to read again.

Change: the policy states with each attempt when it is too late to start it (AttemptLimits::start_before), the earliest moment at which the key of an attempt that may have run is forgotten. Both pools compare it whenever waiting bytes are about to leave; such an attempt ends as not sent and the policy decides anew.

Why it works: the same bound as the policy's own is compared at the only places where bytes leave, right before they do.

LinePoolTest, ServerPoolTest and RetryPolicyTest cover the parts.

--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -70,11 +70,11 @@
   }
   RoutingPolicy& router() { return *router_; }
 
-  void send_attempt(RequestId event, const EndpointId& server, Duration timeout) override {
+  void send_attempt(RequestId event, const EndpointId& server, const AttemptLimits& limits) override {
     Json line = action("relay");
     line["job"] = event;
     line["server"] = server;
-    if (timeout != Duration::zero()) line["max-wait"] = to_ns(to_ticks(timeout));
+    if (limits.timeout != Duration::zero()) line["max-wait"] = to_ns(to_ticks(limits.timeout));
     write(line);
   }
   void cancel_attempt(RequestId event, int leg) override {
--- a/src/core/attempt_execution.cpp
+++ b/src/core/attempt_execution.cpp
@@ -2,11 +2,9 @@
 
 #include <string>
 
-#include "routing/routing_policy.h"
-
 namespace rushhill::core {
 
-void AttemptExecution::start(RequestId id, const EndpointId& endpoint, Duration timeout) {
+void AttemptExecution::start(RequestId id, const EndpointId& endpoint, const AttemptLimits& limits) {
   Request* request = env_.requests.find(id);
   if (request == nullptr) {
     env_.log.write(Level::error, "not sending an attempt for an unknown request", {{"server", endpoint}});
@@ -22,8 +20,8 @@
     return;
   }
   ++env_.counters.attempts;
-  if (timeout > Duration::zero()) {
-    attempt.timeout_timer = env_.clock.at(to_ticks(now + timeout), [this, id, number] {
+  if (limits.timeout > Duration::zero()) {
+    attempt.timeout_timer = env_.clock.at(to_ticks(now + limits.timeout), [this, id, number] {
       cancel_and_report(id, number, AttemptOutcome::unanswered);
     });
   }
@@ -31,7 +29,8 @@
                       .attempt_number = number,
                       .endpoint = endpoint,
                       .time_left = request->deadline - now,
-                      .message = request->message});
+                      .message = request->message,
+                      .start_before = limits.start_before});
 }
 
 void AttemptExecution::cancel(RequestId id, int number) {
--- a/src/core/attempt_execution.h
+++ b/src/core/attempt_execution.h
@@ -9,6 +9,7 @@
 #include "core/request_table.h"
 #include "core/timer_service.h"
 #include "core/upstream_transport.h"
+#include "routing/routing_policy.h"
 
 namespace rushhill::core {
 
@@ -29,9 +30,8 @@
   AttemptExecution(const Environment& environment, int attempt_limit)
       : env_(environment), attempt_limit_(attempt_limit) {}
 
-  // Sends the request to the endpoint as its next attempt. A timeout of zero means that the attempt may run
-  // until the request's deadline.
-  void start(RequestId id, const EndpointId& endpoint, Duration timeout);
+  // Sends the request to the endpoint as its next attempt.
+  void start(RequestId id, const EndpointId& endpoint, const AttemptLimits& limits);
 
   // Cancels one attempt at the routing policy's request. Does nothing if the attempt has ended already.
   void cancel(RequestId id, int number);
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -113,8 +113,8 @@
 
 // Decisions of the routing policy, carried out.
 
-void Gateway::send_attempt(RequestId request, const EndpointId& endpoint, Duration timeout) {
-  attempts_.start(request, endpoint, timeout);
+void Gateway::send_attempt(RequestId request, const EndpointId& endpoint, const AttemptLimits& limits) {
+  attempts_.start(request, endpoint, limits);
 }
 
 void Gateway::cancel_attempt(RequestId request, int attempt_number) {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -103,7 +103,7 @@
 
  private:
   // RoutingHost
-  void send_attempt(RequestId request, const EndpointId& endpoint, Duration timeout) override;
+  void send_attempt(RequestId request, const EndpointId& endpoint, const AttemptLimits& limits) override;
   void cancel_attempt(RequestId request, int attempt_number) override;
   void reject(RequestId request, Duration retry_after) override;
   void fail(RequestId request) override;
--- a/src/core/upstream_transport.h
+++ b/src/core/upstream_transport.h
@@ -49,6 +49,8 @@
   const EndpointId& endpoint;
   Duration time_left{};  // until the request's deadline
   const events::CloudEvent& message;
+  // When it is too late to send the first byte: the attempt then ends as not sent, wherever it has waited.
+  Timestamp start_before = Timestamp::max();
 };
 
 // Sends attempts, probes and orders to endpoints. No call blocks; ends are reported to the UpstreamObserver.
--- a/src/routing/request_dispatcher.cpp
+++ b/src/routing/request_dispatcher.cpp
@@ -70,12 +70,13 @@
                                      EndpointRecord& endpoint) {
   const EndpointId& id = endpoint.endpoint.id;
   BelievedCopy& copy = function.copies.at(id);
+  const Timestamp start_before = parts_.retries.start_before(tracked);
   const bool confirmed = copy.attempt_sent(now, parts_.configuration.copies.keep_alive);
   tracked.attempts.push_back({.endpoint = id, .sent = now, .copy_confirmed = confirmed});
   endpoint.in_flight.sent();
   endpoint.liveness.attempt_sent(now);
   parts_.warm_up.request_sent(now, *tracked.class_estimate, endpoint);
-  parts_.host.send_attempt(tracked.request.id, id, Duration::zero());
+  parts_.host.send_attempt(tracked.request.id, id, {.start_before = start_before});
 }
 
 bool RequestDispatcher::wait_for_prewarm(Timestamp now, const EndpointId& endpoint, TrackedRequest& tracked) {
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -27,11 +27,21 @@
   if (!attempt.open && !attempt.may_have_run) return false;
   if (request_class.retry_safety == RetrySafety::at_most_once) return true;
   if (request_class.retry_safety == RetrySafety::idempotent) return false;
-  const bool key_forgotten = now - attempt.sent + tick_ >= request_class.deduplication_span;
-  return key_forgotten ||
+  return now >= key_forgotten_at(request_class, attempt) ||
          !shares_deduplication(request_class.deduplication_scope, attempt.endpoint, endpoint);
 }
 
+Timestamp RetryPolicy::start_before(const TrackedRequest& tracked) const {
+  const RequestClass& request_class = tracked.request_class();
+  Timestamp start_before = Timestamp::max();
+  if (request_class.retry_safety != RetrySafety::keyed) return start_before;
+  for (const Attempt& attempt : tracked.attempts) {
+    if (attempt.open || attempt.may_have_run)
+      start_before = std::min(start_before, key_forgotten_at(request_class, attempt));
+  }
+  return start_before;
+}
+
 bool RetryPolicy::shares_deduplication(DeduplicationScope scope, const EndpointId& earlier,
                                        const EndpointRecord& other) const {
   const EndpointRecord* const record = endpoints_.find(earlier);
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -31,6 +31,9 @@
   bool may_attempt_at(Timestamp now, const TrackedRequest& tracked, const EndpointRecord& endpoint) const {
     return tracked.attempts.empty() || earlier_attempts_allow(now, tracked, endpoint);
   }
+  // Returns before when the next attempt has to leave, so that no endpoint has forgotten the request's
+  // idempotency key by then.
+  Timestamp start_before(const TrackedRequest& tracked) const;
   // Returns whether the request may be rejected: its attempts had no effect, or a retry does not repeat the
   // effect.
   static bool may_reject(const TrackedRequest& tracked);
@@ -64,6 +67,9 @@
 
   bool earlier_attempts_allow(Timestamp now, const TrackedRequest& tracked,
                               const EndpointRecord& endpoint) const;
+  Timestamp key_forgotten_at(const RequestClass& request_class, const Attempt& attempt) const {
+    return attempt.sent + request_class.deduplication_span - tick_;
+  }
   bool forbids_another(Timestamp now, const RequestClass& request_class, const Attempt& attempt,
                        const EndpointRecord& endpoint) const;
   bool shares_deduplication(DeduplicationScope scope, const EndpointId& earlier,
--- a/src/routing/routing_policy.h
+++ b/src/routing/routing_policy.h
@@ -15,6 +15,13 @@
 
 namespace rushhill {
 
+// Limits by time of one attempt.
+struct AttemptLimits {
+  Duration timeout{};  // 0: the attempt lasts until the client gives up
+  // When it is too late to send the first byte, wherever the attempt has waited until then.
+  Timestamp start_before = Timestamp::max();
+};
+
 // The operations that the policy calls on its router; each takes effect at once.
 class RoutingHost {
  public:
@@ -25,9 +32,8 @@
   RoutingHost& operator=(RoutingHost&&) = delete;
   virtual ~RoutingHost() = default;
 
-  // Sends the request to the endpoint as its next attempt. With a timeout of 0 the attempt lasts until the
-  // client gives up.
-  virtual void send_attempt(RequestId request, const EndpointId& endpoint, Duration timeout) = 0;
+  // Sends the request to the endpoint as its next attempt.
+  virtual void send_attempt(RequestId request, const EndpointId& endpoint, const AttemptLimits& limits) = 0;
   virtual void cancel_attempt(RequestId request, int attempt_number) = 0;
   // Ends the request with a rejection, after which its client may safely retry. `retry_after` advises when; 0
   // gives no advice.
--- a/src/scale/policy_harness.cpp
+++ b/src/scale/policy_harness.cpp
@@ -127,7 +127,8 @@
   }
 }
 
-void PolicyHarness::send_attempt(RequestId request, const EndpointId& endpoint, Duration /*timeout*/) {
+void PolicyHarness::send_attempt(RequestId request, const EndpointId& endpoint,
+                                 const AttemptLimits& /*limits*/) {
   ++tally_.attempts;
   const std::size_t server = server_index_.at(endpoint);
   const auto [copy, is_new] = copy_used_.try_emplace({server, function_of_.at(request)}, now_);
--- a/src/scale/policy_harness.h
+++ b/src/scale/policy_harness.h
@@ -79,7 +79,7 @@
   };
   using CopyKey = std::pair<std::size_t, int>;  // server and function
 
-  void send_attempt(RequestId request, const EndpointId& endpoint, Duration timeout) override;
+  void send_attempt(RequestId request, const EndpointId& endpoint, const AttemptLimits& limits) override;
   void cancel_attempt(RequestId /*request*/, int /*attempt_number*/) override {}
   void reject(RequestId request, Duration retry_after) override;
   void fail(RequestId request) override;
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -53,7 +53,8 @@
   sent_at_ = reactor_.now();
   response_started_ = false;
   if (!may_start()) {
-    timer_ = reactor_.at(reactor_.now() + start_check_interval, [this] { send(); });
+    const Time wait = expired() ? 0 : start_check_interval;
+    timer_ = reactor_.at(reactor_.now() + wait, [this] { send_or_expire(); });
     return;
   }
   if (exchange_->call.expires_at > 0)
@@ -62,14 +63,19 @@
   report_started();
 }
 
+void HttpConnection::send_or_expire() {
+  if (exchange_ && expired()) return fail_unsent();
+  send();
+}
+
 // Whether the exchange may start is asked again, since its bytes had to wait.
 void HttpConnection::on_deferred_send() {
   if (exchange_ && unsent() && stream_->cancel_unsent(handed_over_before_, stream_->pending_bytes())) send();
 }
 
 bool HttpConnection::may_start() const {
-  return exchange_->call.kind != UpstreamCallKind::attempt ||
-         owner_.may_start_attempt(exchange_->call.request);
+  if (exchange_->call.kind != UpstreamCallKind::attempt) return true;
+  return !expired() && owner_.may_start_attempt(exchange_->call.request);
 }
 
 void HttpConnection::report_started() {
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,7 @@
   UpstreamCall call{};
   std::string bytes{};   // the request; empty once the system has taken some of it
   bool started = false;  // whether the system has taken bytes of the request
+  Time start_before = std::numeric_limits<Time>::max();  // when it is too late to send its first byte
 };
 
 // Timeouts and limits of one connection.
@@ -98,6 +100,8 @@
 
  private:
   void send();
+  void send_or_expire();
+  bool expired() const { return reactor_.now() >= exchange_->start_before; }
   bool may_start() const;
   void report_started();
   void finish_exchange(HttpResponse response);
--- a/src/transport/server_pool.cpp
+++ b/src/transport/server_pool.cpp
@@ -26,7 +26,8 @@
                   .endpoint = call.endpoint,
                   .request = call.request,
                   .attempt_number = call.attempt_number},
-         .bytes = attempt_request(limits_.router, call)});
+         .bytes = attempt_request(limits_.router, call),
+         .start_before = to_ticks(call.start_before)});
 }
 
 void ServerPool::probe(const EndpointId& id, Duration timeout) {
--- a/src/upstream/line_connection.cpp
+++ b/src/upstream/line_connection.cpp
@@ -256,7 +256,8 @@
 }
 
 bool LineConnection::may_start(const LineExchange& exchange) const {
-  return !exchange.is_attempt() || owner_.may_start_attempt(exchange.call.request);
+  if (!exchange.is_attempt()) return true;
+  return !exchange.expired(reactor_.now()) && owner_.may_start_attempt(exchange.call.request);
 }
 
 // An attempt that may not start stays out of the connection's bytes, where it would hold up those behind it.
@@ -296,14 +297,14 @@
   return unsent;
 }
 
-// Rewrites the unsent attempts, and ends those past their deadline. An attempt carries the time that its
-// client still waits, counted from when its bytes are sent. That may be long after they were written: the
+// Rewrites the unsent attempts, and ends those that may not start any more. An attempt carries the time that
+// its client still waits, counted from when its bytes are sent. That may be long after they were written: the
 // connection is still being established, the system accepts no more bytes, or the loop reads from clients
 // first. An attempt whose client is not known to wait still is not written.
 void LineConnection::renew_deadlines() {
   std::vector<std::string> expired;
   for (LineExchange* exchange : cancel_unsent_attempts()) {
-    if (exchange->deadline <= reactor_.now()) {
+    if (exchange->expired(reactor_.now())) {
       expired.push_back(exchange->tag);
     } else {
       write_if_it_may_start(*exchange);
--- a/src/upstream/line_connection.h
+++ b/src/upstream/line_connection.h
@@ -34,14 +34,17 @@
   std::string command{};  // the bytes to send; unused for an attempt
   line_protocol::Invocation invocation{};  // of an attempt: the bytes to send, except for the deadline
   Time deadline = 0;                       // of an attempt: when its client stops waiting
-  bool retried = false;         // whether it was already moved from a lost connection to another one
-  bool started = false;         // whether the system has taken bytes of it
+  Time start_before = 0;                   // of an attempt: when it is too late to send its first byte
+  bool retried = false;              // whether it was already moved from a lost connection to another one
+  bool started = false;              // whether the system has taken bytes of it
   std::size_t offset = not_written;  // number of bytes before it on its connection
-  std::size_t size = 0;         // number of its own bytes on its connection
-  core::Timer timer{};          // ends it as unanswered; not set for attempts
-  core::MemoryCharge memory{};  // of an attempt: for its bytes until the system has taken some of them
+  std::size_t size = 0;              // number of its own bytes on its connection
+  core::Timer timer{};               // ends it as unanswered; not set for attempts
+  core::MemoryCharge memory{};       // of an attempt: for its bytes until the system has taken some of them
 
   bool is_attempt() const { return call.kind == transport::UpstreamCallKind::attempt; }
+  // Returns whether it is too late for an attempt to start.
+  bool expired(Time now) const { return now >= deadline || now >= start_before; }
   // Returns the bytes to send at `now`: those of an attempt contain the time that its client still waits.
   std::string bytes(Time now) const { return is_attempt() ? invocation.text(deadline - now) : command; }
 };
--- a/src/upstream/line_pool.cpp
+++ b/src/upstream/line_pool.cpp
@@ -45,7 +45,8 @@
                         .invocation = line_protocol::invocation(
                             call.message.id, call.message.type, function == nullptr ? "" : *function,
                             number == nullptr ? "" : *number, call.message.data),
-                        .deadline = reactor().now() + to_ticks(call.time_left)};
+                        .deadline = reactor().now() + to_ticks(call.time_left),
+                        .start_before = to_ticks(call.start_before)};
   const std::size_t bytes = copies_of_unsent * exchange.invocation.size();
   if (limits_.memory != nullptr && !limits_.memory->admits(0, bytes))
     return exchange_failed_later(std::move(exchange), AttemptOutcome::not_sent);
--- a/tests/benchmark/routing_benchmark.cpp
+++ b/tests/benchmark/routing_benchmark.cpp
@@ -19,7 +19,7 @@
 // Answers every attempt; fires what the module asked to be woken for.
 class Answering final : public RoutingHost {
  public:
-  void send_attempt(RequestId event, const EndpointId& server, Duration) override {
+  void send_attempt(RequestId event, const EndpointId& server, const AttemptLimits&) override {
     shots.push_back({now, event, server});
   }
   void cancel_attempt(RequestId, int) override {}
--- a/tests/core/attempt_execution_test.cpp
+++ b/tests/core/attempt_execution_test.cpp
@@ -22,8 +22,8 @@
 
 TEST_F(AttemptExecutionTest, SendsAttemptsWithTheRemainingTimeOfTheRequest) {
   clock.advance(second / 4);
-  attempts.start(id, "a", Duration::zero());
-  attempts.start(id, "b", Duration::zero());
+  attempts.start(id, "a", {});
+  attempts.start(id, "b", {});
   ASSERT_EQ(transport.sent.size(), 2U);
   EXPECT_EQ(transport.sent[1].number, 1);
   EXPECT_EQ(transport.sent[1].endpoint, "b");
@@ -33,7 +33,7 @@
 }
 
 TEST_F(AttemptExecutionTest, CancelsAnAttemptAtItsTimeoutAndReportsItOnce) {
-  attempts.start(id, "a", to_duration(second / 10));
+  attempts.start(id, "a", {.timeout = to_duration(second / 10)});
   clock.advance(second / 10);
   EXPECT_EQ(transport.cancelled_attempts, (std::vector{std::pair(id, 0)}));
   EXPECT_EQ(reported_outcomes(), std::vector<AttemptOutcome>{AttemptOutcome::unanswered});
@@ -45,7 +45,7 @@
 }
 
 TEST_F(AttemptExecutionTest, ReportsACancelledAttemptAfterTheCurrentCall) {
-  attempts.start(id, "a", to_duration(second / 10));
+  attempts.start(id, "a", {.timeout = to_duration(second / 10)});
   attempts.cancel(id, 0);
   EXPECT_TRUE(policy_events.attempt_ends.empty());
   EXPECT_EQ(request.deferred_calls, 1);
@@ -56,15 +56,15 @@
 }
 
 TEST_F(AttemptExecutionTest, ReportsAttemptsThatMustNotBeSentAsNotSent) {
-  for (int i = 0; i < attempt_limit; ++i) attempts.start(id, "a", Duration::zero());
-  attempts.start(id, "beyond the limit", Duration::zero());
+  for (int i = 0; i < attempt_limit; ++i) attempts.start(id, "a", {});
+  attempts.start(id, "beyond the limit", {});
   const auto [late_id, late] = requests.add();
   late.deadline = clock.timestamp();
-  attempts.start(late_id, "at the deadline", Duration::zero());
+  attempts.start(late_id, "at the deadline", {});
   const auto [concluded_id, concluded] = requests.add();
   concluded.deadline = clock.timestamp() + one_second;
   concluded.concluded = true;
-  attempts.start(concluded_id, "after the answer", Duration::zero());
+  attempts.start(concluded_id, "after the answer", {});
   clock.run_posted_calls();
   EXPECT_EQ(transport.sent.size(), static_cast<std::size_t>(attempt_limit));
   EXPECT_EQ(reported_outcomes(), std::vector<AttemptOutcome>(3, AttemptOutcome::not_sent));
@@ -73,7 +73,7 @@
 }
 
 TEST_F(AttemptExecutionTest, OnlyLogsAnErrorForAnAttemptOfAnUnknownRequest) {
-  attempts.start(id + 1, "a", Duration::zero());
+  attempts.start(id + 1, "a", {});
   attempts.cancel(id + 1, 0);
   attempts.cancel(id, 0);
   clock.run_posted_calls();
@@ -83,8 +83,8 @@
 }
 
 TEST_F(AttemptExecutionTest, CancelUnsentKeepsSentAttemptsOpen) {
-  attempts.start(id, "a", Duration::zero());
-  attempts.start(id, "b", Duration::zero());
+  attempts.start(id, "a", {});
+  attempts.start(id, "b", {});
   transport.unsent.insert({id, 1});
   attempts.cancel_unsent(id, request);
   clock.run_posted_calls();
@@ -95,8 +95,8 @@
 }
 
 TEST_F(AttemptExecutionTest, ExpireAttemptsEndsAllOpenAttempts) {
-  attempts.start(id, "a", Duration::zero());
-  attempts.start(id, "b", Duration::zero());
+  attempts.start(id, "a", {});
+  attempts.start(id, "b", {});
   attempts.close(request.attempts[0]);
   attempts.report_end(id, 0, {.outcome = AttemptOutcome::error, .in_flight = 4});
   attempts.expire_attempts(id, request);
--- a/tests/core/gateway_test.cpp
+++ b/tests/core/gateway_test.cpp
@@ -276,7 +276,7 @@
   const RequestId id = send_request();
   end_attempt(0, AttemptOutcome::overloaded);
   const std::size_t attempts = ports.attempts.size();
-  static_cast<RoutingHost&>(*gateway).send_attempt(id, "c", to_duration(second / 10));
+  static_cast<RoutingHost&>(*gateway).send_attempt(id, "c", {.timeout = to_duration(second / 10)});
   clock.advance(second / 10);
   EXPECT_EQ(ports.cancelled_attempts.back(), std::pair(id, static_cast<int>(attempts)));
   EXPECT_EQ(gateway->tally().outcomes[static_cast<std::size_t>(AttemptOutcome::unanswered)], 1U);
@@ -287,7 +287,7 @@
   const RequestId id = send_request();
   static_cast<RoutingHost&>(*gateway).reject(id, Duration::zero());
   const std::size_t attempts = ports.attempts.size();
-  static_cast<RoutingHost&>(*gateway).send_attempt(id, "c", to_duration(0));
+  static_cast<RoutingHost&>(*gateway).send_attempt(id, "c", {});
   clock.run_posted_calls();
   EXPECT_EQ(ports.attempts.size(), attempts);
   EXPECT_EQ(gateway->tally().outcomes[static_cast<std::size_t>(AttemptOutcome::not_sent)], 1U);
--- a/tests/core/request_lifecycle_test.cpp
+++ b/tests/core/request_lifecycle_test.cpp
@@ -65,7 +65,7 @@
 TEST_F(RequestLifecycleTest, DeliversFinalAnswersAheadOfWhatWasPostedBefore) {
   const RequestId rejected = accept();
   const RequestId failed = accept();
-  attempts.start(failed, "a", to_duration(second / 2));
+  attempts.start(failed, "a", {.timeout = to_duration(second / 2)});
   Answers answers_before_other_work;
   clock.post([&] { answers_before_other_work = client.answers; });
   lifecycle.reject(rejected, Duration::zero());
@@ -79,7 +79,7 @@
   const RequestId id = accept();
   ASSERT_EQ(policy_events.requests.size(), 1U);
   EXPECT_EQ(policy_events.requests[0].id, id);
-  attempts.start(id, "a", to_duration(second / 2));
+  attempts.start(id, "a", {.timeout = to_duration(second / 2)});
   lifecycle.attempt_started(id);
   lifecycle.attempt_ended(id, 0, {.outcome = AttemptOutcome::succeeded});
   lifecycle.attempt_ended(id, 0, {.outcome = AttemptOutcome::succeeded});
@@ -115,7 +115,7 @@
 
 TEST_F(RequestLifecycleTest, FailsTheRequestAndEndsItsAttemptsAtTheDeadline) {
   const RequestId id = accept();
-  attempts.start(id, "a", Duration::zero());
+  attempts.start(id, "a", {});
   clock.advance(second);
   EXPECT_EQ(client.answers, Answers{"failed"});
   EXPECT_EQ(transport.cancelled_attempts, (std::vector{std::pair(id, 0)}));
@@ -127,7 +127,7 @@
 
 TEST_F(RequestLifecycleTest, IgnoresAReplyInTheTickOfTheDeadline) {
   const RequestId id = accept();
-  attempts.start(id, "a", Duration::zero());
+  attempts.start(id, "a", {});
   clock.advance_without_firing(second);
   lifecycle.attempt_ended(id, 0, {.outcome = AttemptOutcome::succeeded});
   clock.run_posted_calls();
@@ -137,7 +137,7 @@
 
 TEST_F(RequestLifecycleTest, ReportsACancelledRequestOnceAndNeverAnswersIt) {
   const RequestId id = accept();
-  attempts.start(id, "a", Duration::zero());
+  attempts.start(id, "a", {});
   lifecycle.client_cancelled({.request = id, .attempts_after_cancel = 2});
   lifecycle.client_cancelled({.request = id, .attempts_after_cancel = 0});
   lifecycle.fail(id);
@@ -205,7 +205,7 @@
 TEST_F(RequestLifecycleTest, ReportsAFailedRequestWithAnAttemptAsPossiblyExecuted) {
   deduplication.verdict = AdmissionVerdict::tracked;
   const RequestId id = accept();
-  attempts.start(id, "a", Duration::zero());
+  attempts.start(id, "a", {});
   lifecycle.fail(id);
   EXPECT_EQ(deduplication.certainties,
             std::vector<ExecutionCertainty>{ExecutionCertainty::may_have_executed});
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -26,7 +26,7 @@
     Time at;
   };
 
-  void send_attempt(RequestId request, const EndpointId& endpoint, Duration) override {
+  void send_attempt(RequestId request, const EndpointId& endpoint, const AttemptLimits&) override {
     shots.push_back({request, endpoint});
   }
   void cancel_attempt(RequestId request, int attempt_number) override {
--- a/tests/routing/retry_policy_test.cpp
+++ b/tests/routing/retry_policy_test.cpp
@@ -152,6 +152,23 @@
   EXPECT_EQ(retries.overdue_action(tracked), OverdueAction::none);
 }
 
+// Guards against a further attempt that is chosen in time and leaves too late.
+TEST_F(RetryPolicyTest, AttemptOfAKeyedRequestStartsBeforeTheKeyOfAnEarlierOneIsForgotten) {
+  request_class().retry_safety = RetrySafety::keyed;
+  request_class().deduplication_span = 5 * one_second;
+  EXPECT_EQ(retries.start_before(tracked), Timestamp::max());
+  add_ended(AttemptOutcome::not_sent, now - 3 * one_second);
+  EXPECT_EQ(retries.start_before(tracked), Timestamp::max()) << "it has not run";
+  add_ended(AttemptOutcome::error, now - one_second);
+  add_ended(AttemptOutcome::error, now);
+  const Timestamp start_before = retries.start_before(tracked);
+  EXPECT_EQ(start_before, now + 4 * one_second - configuration.tick);
+  EXPECT_TRUE(retries.may_attempt_at(start_before - Duration{1}, tracked, endpoints.at("b")));
+  EXPECT_FALSE(retries.may_attempt_at(start_before, tracked, endpoints.at("b")));
+  request_class().retry_safety = RetrySafety::idempotent;
+  EXPECT_EQ(retries.start_before(tracked), Timestamp::max());
+}
+
 TEST_F(RetryPolicyTest, OverdueBudgetIsSpentByOverdueAttemptsAndEarnedBySuccesses) {
   for (int i = 0; i < 5; ++i) {
     EXPECT_EQ(retries.overdue_action(tracked), OverdueAction::cancel);
--- a/tests/routing/simulated_fleet.h
+++ b/tests/routing/simulated_fleet.h
@@ -98,7 +98,7 @@
   struct Router final : RoutingHost {
     Router(SimulatedFleet& simulated_fleet, int index) : fleet(simulated_fleet), number(index) {}
 
-    void send_attempt(RequestId request, const EndpointId& endpoint, Duration) override {
+    void send_attempt(RequestId request, const EndpointId& endpoint, const AttemptLimits&) override {
       const AttemptKey attempt{request, attempts_sent[request]++};
       open_attempts.insert(attempt);
       fleet.scheduler_.schedule(fleet.scheduler_.now() + network_delay, [this, attempt, endpoint] {
--- a/tests/transport/server_pool_test.cpp
+++ b/tests/transport/server_pool_test.cpp
@@ -84,6 +84,16 @@
   EXPECT_EQ(observer.attempts.size(), attempts);
 }
 
+// Guards against a further attempt that leaves after the servers have forgotten its key.
+TEST_F(ServerPoolTest, AttemptThatHasWaitedTooLongIsNotSent) {
+  observer.held_back = 1;
+  pool.send({1, 0, server_id, one_second, message, to_timestamp(reactor.now() + 200)});
+  ASSERT_TRUE(wait_for_attempts(1));
+  EXPECT_EQ(last_outcome(), AttemptOutcome::not_sent);
+  pump.pass(200);
+  for (const auto& peer : server.peers) EXPECT_EQ(peer->seen, "");
+}
+
 // Guards against attempts for a client whose leaving is not known yet, because what it sent waits to be read.
 TEST_F(ServerPoolTest, AttemptThatMayNotStartWaits) {
   observer.held_back = 1;
--- a/tests/upstream/line_pool_test.cpp
+++ b/tests/upstream/line_pool_test.cpp
@@ -189,6 +189,19 @@
   EXPECT_TRUE(server_received_anywhere("id1"));
 }
 
+// Guards against a further attempt that leaves after the servers have forgotten its key.
+TEST_F(LinePoolTest, AttemptThatHasWaitedTooLongIsNotSent) {
+  observer.held_back = 1;
+  events::CloudEvent message{.id = id(1), .type = "t", .data = "in"};
+  const EndpointId to = "a";
+  pool.send({1, 0, to, one_second, message, to_timestamp(reactor.now() + 200)});
+  ASSERT_TRUE(wait_for_attempts(1));
+  EXPECT_EQ(observer.attempts[0].outcome, AttemptOutcome::not_sent);
+  observer.held_back = 0;
+  driver.pass(200);
+  EXPECT_FALSE(has_received_anywhere("id1"));
+}
+
 TEST_F(LinePoolTest, AttemptThatMayNotStartCanBeCancelled) {
   observer.held_back = 1;
   send_attempt(1);
