Socket stream: one read of a turn is a function of its own

Change: read_once() reads once and handles its failures; on_readable() decides whether to go on. No behaviour changes.

--- a/src/transport/socket_stream.cpp
+++ b/src/transport/socket_stream.cpp
@@ -203,25 +203,38 @@
 void SocketStream::on_readable() {
   if (closed() || !established_) return;
   const auto self = shared_from_this();
-  const std::size_t max_bytes = max_read_bytes();
-  std::vector<char>& buffer = loop_.read_buffer();
   std::size_t read = 0;
-  do {
-    measure_unread_age();
-    const auto got = receive(buffer.data(), max_bytes, 0);
-    if (got <= 0) arrived_after_.reset();
-    if (got < 0 && would_block_or_interrupted(errno)) return;
-    if (got < 0 && out_of_memory(errno)) return pause_reading();
-    if (got < 0) return close_and_notify(CloseReason::reset);
-    if (got == 0) return close_and_notify(CloseReason::closed_by_peer);
-    read_backoff_.record_success();
-    read += static_cast<std::size_t>(got);
-    handler_->on_data({buffer.data(), static_cast<std::size_t>(got)});
+  while (read < quantum_bytes) {
+    const std::size_t got = read_once();
+    if (got == 0) return;
+    read += got;
     if (!opened_by_peer() || closed() || !wanted_.readable) return arrived_after_.reset();
-  } while (read < quantum_bytes);
+  }
   loop_.continue_reading(*this);
 }
 
+// Returns the number of bytes read, or 0 if there is no more to read at present or the connection has ended.
+std::size_t SocketStream::read_once() {
+  std::vector<char>& buffer = loop_.read_buffer();
+  measure_unread_age();
+  const auto got = receive(buffer.data(), max_read_bytes(), 0);
+  if (got > 0) {
+    const auto count = static_cast<std::size_t>(got);
+    read_backoff_.record_success();
+    handler_->on_data({buffer.data(), count});
+    return count;
+  }
+  arrived_after_.reset();
+  if (got == 0) {
+    close_and_notify(CloseReason::closed_by_peer);
+  } else if (out_of_memory(errno)) {
+    pause_reading();
+  } else if (!would_block_or_interrupted(errno)) {
+    close_and_notify(CloseReason::reset);
+  }
+  return 0;
+}
+
 bool SocketStream::is_reading_delayed() const { return !closed() && loop_.may_hold_unread(*this); }
 
 // Called before the bytes are read. Asks the system only if the loop polled so late that the bytes may have
--- a/src/transport/socket_stream.h
+++ b/src/transport/socket_stream.h
@@ -66,6 +66,7 @@
   void pause_sending();
   void resume_sending();
   void report_not_started();
+  std::size_t read_once();
   ssize_t receive(char* bytes, std::size_t count, int flags);
   void shut_down_sending();
   void close_and_notify(CloseReason why);
