Event loop: a busy connection counts as read after the next poll, even if it gets more

Cause: read again: a connection that had had more to read than its turn counted as unread until a poll did not report it. Under steady traffic every poll may report it, and its requests would have been held back until their deadline. Change: it counts as read to its end once what a later poll reported has been read, too.

--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -98,8 +98,8 @@
 // else is reported.
 void Loop::read_peers(ReadySet& ready) {
   reading_clients_ = true;
-  unread_peers_.on_polled(ready);
   dispatch(ready, true);
+  unread_peers_.on_poll_read();
   read_unread_peers();
   for (int reads = 1; reads < max_reads && !deferred_streams_.empty() && last_poll_too_old(); ++reads) {
     const ReadySet more = poll_sources();
--- a/src/transport/unread_sources.h
+++ b/src/transport/unread_sources.h
@@ -12,7 +12,8 @@
 // A round robin of registrations, each of them once.
 //
 // A source that has had all its bytes read may get more at once: its peer's system had to wait until there
-// was room for them. So it counts as read to its end only when a later poll has not reported it.
+// was room for them. So it counts as read to its end only once what a later poll reports of it has been read
+// too.
 class UnreadSources {
  public:
   bool empty() const { return turns_.empty(); }
@@ -33,9 +34,9 @@
     read_lately_.insert(id);
     return id;
   }
-  // A poll has reported these.
-  void on_polled(const ReadySet& ready) {
-    std::erase_if(read_lately_, [&](RegistrationId id) { return !waits(id) && !ready.contains(id); });
+  // What a later poll has reported has been read, except for the sources that wait.
+  void on_poll_read() {
+    std::erase_if(read_lately_, [this](RegistrationId id) { return !waits(id); });
   }
 
  private:
